--- a/cmd/parsleypulleyd/agent.go
+++ b/cmd/parsleypulleyd/agent.go
@@ -4,12 +4,11 @@
 	"context"
 	"errors"
 
-	"github.com/apex/log"
-
 	"parsleypulley/internal/agent"
 	"parsleypulley/internal/controlclient"
 	"parsleypulley/internal/daemon"
 	"parsleypulley/internal/engine"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/follow"
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/node"
@@ -78,14 +77,14 @@
 	return p.Wait(func(ctx context.Context) {
 		watches.Close()
 		if err := a.Drain(ctx); err != nil {
-			log.WithField("error", err).Warn("planned stop did not complete")
+			event.StopCut("agent", err)
 		}
 	})
 }
 
 func runLogged(name string, f func() error) {
 	if err := f(); err != nil && !errors.Is(err, context.Canceled) {
-		log.WithFields(log.Fields{"part": name, "error": err}).Error("part of the agent ended")
+		event.PartEnded(name, err)
 	}
 }
 
--- a/cmd/parsleypulleyd/control.go
+++ b/cmd/parsleypulleyd/control.go
@@ -8,17 +8,13 @@
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
-
 	"parsleypulley/internal/account"
-	"parsleypulley/internal/consensus"
 	"parsleypulley/internal/control"
 	"parsleypulley/internal/daemon"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/node"
 	"parsleypulley/internal/operator"
-	"parsleypulley/internal/storage"
-	"parsleypulley/internal/wire"
 )
 
 type controlCommand struct {
@@ -41,33 +37,18 @@
 	if err != nil {
 		return err
 	}
-	store, damage, err := storage.OpenOrReset(c.Data, storage.Options{})
-	if err != nil {
-		return fmt.Errorf("open data folder: %w", err)
-	}
-	defer store.Close()
-	if damage != nil {
-		log.WithFields(log.Fields{"data": c.Data, "damage": damage}).Error("data folder was damaged; joining as a new replica")
-	}
-	machine := control.NewMachine(control.DefaultLimits())
-	replica, err := consensus.Start(consensus.Config{
-		Store:     store,
-		Machine:   machine,
-		Transport: control.NewTransport(p.Context, p.Pool, &wire.Replica{Id: store.Identity(), Address: c.Address()}),
-		Address:   c.Address(),
-		Peers:     others(c.Control, c.Address()),
-	})
+	replica, err := node.StartReplica(p, c.Data, others(c.Control, c.Address()))
 	if err != nil {
-		return fmt.Errorf("start replica: %w", err)
+		return err
 	}
-	defer replica.Stop()
-	service := control.NewService(replica, machine, control.DefaultOptions())
-	daemon.PublishView(machine.Log(), nil)
-	daemon.PublishReplica(replica)
-	if err := p.Serve(link.Handler(service), func() error { return node.ReplicaReady(replica) }); err != nil {
+	defer replica.Close()
+	service := control.NewService(replica.Node, replica.Machine, control.DefaultOptions())
+	daemon.PublishView(replica.Machine.Log(), nil)
+	daemon.PublishReplica(replica.Node)
+	if err := p.Serve(link.Handler(service), func() error { return node.ReplicaReady(replica.Node) }); err != nil {
 		return err
 	}
-	operators := &control.Operators{Name: c.Name, Node: replica, Machine: machine, Pool: p.Pool, Peers: others(c.Control, c.Address())}
+	operators := &control.Operators{Name: c.Name, Node: replica.Node, Machine: replica.Machine, Pool: p.Pool, Peers: others(c.Control, c.Address())}
 	stopOperators, err := c.serveOperators(p, operator.Handler(operators, keys))
 	if err != nil {
 		return err
@@ -80,7 +61,7 @@
 	return p.Wait(func(ctx context.Context) {
 		stopOperators(ctx)
 		service.StopWatches()
-		node.HandOver(ctx, replica)
+		node.HandOver(ctx, replica.Node)
 	})
 }
 
@@ -120,7 +101,7 @@
 	})
 	return func(ctx context.Context) {
 		if err := server.Shutdown(ctx); err != nil {
-			log.WithField("error", err).Warn("operator requests were cut")
+			event.StopCut("operator", err)
 		}
 	}, nil
 }
--- a/cmd/parsleypulleyd/main.go
+++ b/cmd/parsleypulleyd/main.go
@@ -6,7 +6,8 @@
 	"os"
 
 	"github.com/alecthomas/kong"
-	"github.com/apex/log"
+
+	"parsleypulley/internal/event"
 )
 
 type cli struct {
@@ -20,7 +21,7 @@
 	ctx := kong.Parse(&c, kong.Name("parsleypulleyd"),
 		kong.Description("Router for language-model traffic with long shared prompts."))
 	if err := ctx.Run(); err != nil {
-		log.WithError(err).Error("process failed")
+		event.ProcessFailed(err)
 		os.Exit(1)
 	}
 }
--- a/cmd/parsleypulleyd/router.go
+++ b/cmd/parsleypulleyd/router.go
@@ -8,10 +8,9 @@
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
-
 	"parsleypulley/internal/controlclient"
 	"parsleypulley/internal/daemon"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/follow"
 	"parsleypulley/internal/gateway"
 	"parsleypulley/internal/link"
@@ -100,11 +99,11 @@
 		}
 		return nil
 	})
-	log.WithField("address", c.Listen).Info("serving callers")
+	event.Listening(c.Listen, "callers")
 	return p.Wait(func(ctx context.Context) {
 		watches.Close()
 		if err := server.Shutdown(ctx); err != nil {
-			log.WithField("error", err).Warn("planned stop did not complete")
+			event.StopCut("callers", err)
 		}
 	})
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -16,6 +16,7 @@
 	"github.com/apex/log/handlers/logfmt"
 
 	"parsleypulley/internal/engine/dialect"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/standin"
 )
 
@@ -44,7 +45,7 @@
 	var s settings
 	kong.Parse(&s, kong.Name("standin"), kong.Description("Stand-in for a model engine or a plain service."))
 	if err := run(s); err != nil {
-		log.WithError(err).Error("stand-in failed")
+		event.ProcessFailed(err)
 		os.Exit(1)
 	}
 }
@@ -66,7 +67,7 @@
 		return err
 	}
 	defer server.Close()
-	log.WithFields(log.Fields{"address": server.Address(), "kind": s.Kind}).Info("stand-in listening")
+	event.StandinStarted(server.Address(), s.Kind)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	<-ctx.Done()
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,7 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
 
@@ -20,6 +19,7 @@
 	"parsleypulley/internal/agent/holdings"
 	"parsleypulley/internal/engine"
 	"parsleypulley/internal/engine/dialect"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/routing"
 	"parsleypulley/internal/wire"
@@ -240,7 +240,7 @@
 	a.gate.SetDraining(draining)
 	a.mu.Unlock()
 	if changed {
-		log.WithFields(log.Fields{"backend": a.config.Name, "draining": draining}).Info("drain state changed")
+		event.DrainChanged(a.config.Name, draining)
 	}
 }
 
--- a/internal/agent/announce.go
+++ b/internal/agent/announce.go
@@ -6,9 +6,8 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
-
 	"parsleypulley/internal/engine/dialect"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/wire"
 )
 
@@ -110,13 +109,11 @@
 	was := n.silent
 	n.silent = err != nil
 	n.mu.Unlock()
-	fields := log.Fields{"backend": n.agent.config.Name}
 	switch {
 	case err != nil && !was:
-		fields["error"] = err.Error()
-		log.WithFields(fields).Warn("control can't be reached")
+		event.ControlLost(n.agent.config.Name, err)
 	case err == nil && was:
-		log.WithFields(fields).Info("control is reached again")
+		event.ControlRegained(n.agent.config.Name)
 	}
 }
 
@@ -169,12 +166,10 @@
 func (a *Agent) order(ctx context.Context, o *wire.Order) *wire.OrderResult {
 	err := a.tryOrder(ctx, o)
 	r := &wire.OrderResult{Id: o.Id, Done: err == nil}
-	fields := log.Fields{"backend": a.config.Name, "order": o.Id, "fencing": o.Fencing, "model": o.Model, "version": o.WeightsVersion}
 	if err != nil {
 		r.Error = err.Error()
-		fields["error"] = r.Error
 	}
-	log.WithFields(fields).Info("order finished")
+	event.OrderFinished(event.Order{ID: o.Id, Backend: a.config.Name, Fencing: o.Fencing, Model: o.Model, Weights: o.WeightsVersion}, err)
 	a.mu.Lock()
 	a.gate.FinishOrder(r)
 	a.mu.Unlock()
--- a/internal/agent/kv.go
+++ b/internal/agent/kv.go
@@ -4,11 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/apex/log"
-
 	"parsleypulley/internal/agent/gate"
 	"parsleypulley/internal/agent/holdings"
 	"parsleypulley/internal/engine/dialect"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/wire"
@@ -105,7 +104,7 @@
 		}
 		kvImports.Add(fault.From(err).Kind.String(), 1)
 		if !fault.Is(err, fault.NotFound) {
-			log.WithFields(log.Fields{"backend": a.config.Name, "request_id": d.RequestId, "source": d.KvSource, "error": err.Error()}).Info("cached state not imported")
+			event.ImportFailed(a.config.Name, d.RequestId, d.KvSource, err)
 			return
 		}
 	}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
@@ -16,6 +15,7 @@
 	"parsleypulley/internal/agent/gate"
 	"parsleypulley/internal/agent/holdings"
 	"parsleypulley/internal/engine"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/wire"
 )
@@ -208,8 +208,5 @@
 
 func (a *Agent) logFailure(d *wire.Dispatch, err *fault.Error) {
 	failureCount.Add(err.Kind.String(), 1)
-	log.WithFields(log.Fields{
-		"backend": a.config.Name, "request_id": d.RequestId, "attempt": d.Attempt, "account": d.Account,
-		"kind": err.Kind.String(), "outcome": err.Outcome.String(), "error": err.Text(),
-	}).Warn("dispatch failed")
+	event.DispatchFailed(event.Attempt{Backend: a.config.Name, Request: d.RequestId, Number: int(d.Attempt)}, d.Account, err)
 }
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -6,10 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
 	"parsleypulley/internal/engine/dialect"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/wire"
 )
@@ -71,7 +71,7 @@
 		a.gate.EngineDown()
 		if before.Up {
 			a.downSince = began
-			log.WithFields(log.Fields{"backend": a.config.Name, "error": err.Error()}).Warn("backend server is down")
+			event.BackendDown(a.config.Name, err)
 			a.Kick()
 		}
 		if since := time.Now().Add(-a.config.Timings.Stall); !a.downSince.IsZero() && !a.downSince.After(since) {
@@ -88,7 +88,7 @@
 		engineLives.Add(1)
 	}
 	if !before.Up || before.Incarnation != health.Incarnation || !sameModels(before.Models, models) {
-		log.WithFields(log.Fields{"backend": a.config.Name, "incarnation": health.Incarnation, "models": len(models)}).Info("backend server is up")
+		event.BackendUp(a.config.Name, health.Incarnation, len(models))
 		a.Kick()
 	}
 	return true
@@ -124,7 +124,7 @@
 	events, err := a.engine.Events(ctx, from)
 	if err != nil {
 		if !fault.Is(err, fault.BackendRefused) && ctx.Err() == nil {
-			log.WithFields(log.Fields{"backend": a.config.Name, "error": err.Error()}).Debug("cache events not read")
+			event.CacheEventsUnread(a.config.Name, err)
 		}
 		return
 	}
--- a/internal/consensus/apply.go
+++ b/internal/consensus/apply.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/storage"
 	"parsleypulley/internal/wire"
@@ -70,7 +71,7 @@
 		return
 	}
 	n.snapshots.reset(s.ID.Index, len(s.Data))
-	n.logger().WithField("index", s.ID.Index).Info("snapshot installed")
+	event.SnapshotInstalled(n.self(), s.ID.Index)
 }
 
 // maybeSnapshot begins a snapshot when enough has been applied since the last.
@@ -106,7 +107,7 @@
 		return
 	}
 	n.replica.SnapshotSaved(s.snapshot, s.compactTo)
-	n.logger().WithField("index", s.snapshot.ID.Index).Info("snapshot saved")
+	event.SnapshotSaved(n.self(), s.snapshot.ID.Index)
 }
 
 // requestReads starts one round for all reads that wait, unless one is out.
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/wire"
 )
@@ -228,7 +229,7 @@
 		return
 	}
 	n.err = err
-	n.logger().WithError(err).Error("replica failed")
+	event.ReplicaFailed(n.self(), err)
 }
 
 func (n *Node) finish() {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -9,8 +9,7 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
-
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/storage"
 	"parsleypulley/internal/wire"
@@ -351,6 +350,5 @@
 	return fault.New(fault.OutcomeUnknown, fault.Unknown, format, args...)
 }
 
-func (n *Node) logger() *log.Entry {
-	return log.WithFields(log.Fields{"replica": fmt.Sprintf("%x", n.id), "term": n.replica.term})
-}
+// self names this replica in events.
+func (n *Node) self() event.Replica { return event.Replica{ID: n.id, Term: n.replica.term} }
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -1,9 +1,9 @@
 package consensus
 
 import (
-	"fmt"
 	"time"
 
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/wire"
 )
 
@@ -74,9 +74,7 @@
 	if before != nil && before.Role == s.Role && before.Term == s.Term && before.Leader == s.Leader {
 		return
 	}
-	n.logger().WithField("role", s.Role.String()).
-		WithField("leader", fmt.Sprintf("%x", s.Leader)).
-		WithField("commit", s.Commit).Info("role changed")
+	event.RoleChanged(n.self(), s.Role.String(), s.Leader, s.Commit)
 	if n.config.Observe != nil {
 		n.config.Observe(s)
 	}
--- a/internal/control/holdings.go
+++ b/internal/control/holdings.go
@@ -6,8 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
-
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/prefix"
 	"parsleypulley/internal/wire"
@@ -123,7 +122,7 @@
 		}
 		if !failing && ctx.Err() == nil {
 			failing = true
-			log.WithFields(log.Fields{"address": source.Address, "error": err}).Info("cache events are out of reach")
+			event.CacheEventsLost(source.Address, err)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -5,9 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
-
 	"parsleypulley/internal/consensus"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/membership"
 	"parsleypulley/internal/wire"
@@ -99,7 +98,7 @@
 	defer cancel()
 	command := &wire.Command{Body: &wire.Command_LeaderStart{LeaderStart: &wire.LeaderStart{Term: term}}}
 	if _, err := Propose(ctx, l.node, command); err != nil {
-		log.WithFields(log.Fields{"term": term, "error": err}).Warn("leader could not start its term")
+		event.TermNotStarted(term, err)
 		return false
 	}
 	l.mu.Lock()
@@ -110,7 +109,7 @@
 	l.planner = fleet.NewPlanner(term, now, consensus.DefaultElectionTimeout)
 	l.rollout = fleet.NewRollout(term, now, l.options.OrderLease)
 	l.clock = time.Time{}
-	log.WithField("term", term).Info("leading")
+	event.Leading(term)
 	return true
 }
 
@@ -157,20 +156,19 @@
 	defer cancel()
 	result, err := Propose(ctx, l.node, command)
 	if err != nil {
-		log.WithField("error", err).Warn("leader's command was not committed")
+		event.CommandLost(err)
 		return
 	}
 	change := command.GetBackend()
 	if change == nil {
 		return
 	}
-	fields := log.Fields{"backend": change.Name, "change": change.Kind.String()}
 	if problem := result.GetBackend().GetProblem(); !result.GetBackend().GetAccepted() {
 		l.refused(change)
-		log.WithFields(fields).WithField("problem", problem).Warn("backend server change refused")
+		event.BackendUnchanged(change.Name, change.Kind.String(), problem)
 		return
 	}
-	log.WithFields(fields).Info("backend server changed")
+	event.BackendChanged(change.Name, change.Kind.String())
 }
 
 func (l *leader) refused(change *wire.BackendChange) {
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
 	"google.golang.org/protobuf/proto"
 
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/wire"
 )
@@ -168,7 +168,7 @@
 		}
 		failures[name]++
 		if failures[name] == silentReports {
-			log.WithFields(log.Fields{"backend": name, "address": r.backend.GetAddress(), "error": r.err}).Warn("engine gives no load reports")
+			event.ReportsMissing(name, r.backend.GetAddress(), r.err)
 			actions = append(actions, fleet.RolloutAction{Propose: &wire.BackendChange{
 				Kind: wire.BackendChange_KIND_SUSPECT, Name: name, AgentIncarnation: r.backend.GetAgentIncarnation(),
 			}})
@@ -193,7 +193,7 @@
 			defer cancel()
 			req := &wire.Request{Body: &wire.Request_PushLoads{PushLoads: proto.CloneOf(digest)}}
 			if err := l.options.Push(ctx, r.GetAddress(), req); err != nil {
-				log.WithFields(log.Fields{"replica": r.GetAddress(), "error": err}).Debug("load digest was not taken")
+				event.DigestRefused(r.GetAddress(), err)
 			}
 		}()
 	}
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
-	"github.com/apex/log"
-
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/wire"
 )
@@ -51,7 +51,7 @@
 	defer cancel()
 	report, err := l.options.Engines.Report(callCtx, b)
 	if err != nil {
-		log.WithFields(log.Fields{"backend": b.GetName(), "error": err}).Warn("engine gave no report")
+		event.ReportMissing(b.GetName(), err)
 	}
 	targets := l.machine.Log().Snapshot().WeightsTargets()
 	l.mu.Lock()
@@ -70,12 +70,11 @@
 	callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
 	err := l.options.Engines.Order(callCtx, order)
-	entry := log.WithFields(log.Fields{"backend": order.Backend.GetName(), "model": order.Model,
-		"weights": order.Version, "fencing": order.Fencing, "orders": order.Orders})
+	about := event.Order{Backend: order.Backend.GetName(), Model: order.Model, Weights: strconv.FormatUint(order.Version, 10), Fencing: order.Fencing, Orders: order.Orders}
 	if err != nil {
-		entry.WithField("error", err).Warn("engine did not accept the order")
+		event.OrderRefused(about, err)
 	} else {
-		entry.Info("engine loads new weights")
+		event.WeightsLoading(about)
 	}
 	l.mu.Lock()
 	var actions []fleet.RolloutAction
--- a/internal/control/routes_test.go
+++ b/internal/control/routes_test.go
@@ -41,7 +41,9 @@
 	view := restored.Log().Snapshot()
 	is.Equal(view.Routes.Version(), uint64(5))
 	is.True(view.Routes.Match("one.example", "/a/x") != nil)
-	is.Equal(view.Weights("m"), uint64(4))
+	is.Equal(len(view.WeightsTargets()), 1)
+	is.Equal(view.WeightsTargets()[0].GetModel(), "m")
+	is.Equal(view.WeightsTargets()[0].GetVersion(), uint64(4))
 	// The state goes on alike: an older table changes nothing, a newer one does.
 	is.Equal(applyTable(t, restored, 3, &wire.RouteTableChange{Table: routeTable(4), Document: []byte("four")}).GetStatus(), wire.RouteTableResult_STATUS_SUPERSEDED)
 	is.Equal(restored.RouteDocument().GetVersion(), uint64(5))
--- a/internal/daemon/log_test.go
+++ b/internal/daemon/log_test.go
@@ -2,11 +2,19 @@
 
 import (
 	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/matryer/is"
+
+	"parsleypulley/internal/event"
+	"parsleypulley/internal/fault"
 )
 
 // blockedWriter is an output that nobody reads until it is opened.
@@ -20,20 +28,86 @@
 	return w.out.Write(p)
 }
 
-// Requests go on while nobody reads standard output; the lines lost are counted
-// and told.
+// useLog sends events to h for one test.
+func useLog(t *testing.T, h log.Handler) {
+	t.Helper()
+	before := log.Log.(*log.Logger).Handler
+	log.SetHandler(h)
+	t.Cleanup(func() { log.SetHandler(before) })
+}
+
+// Requests go on while nobody reads standard output. Lines on calls that went
+// well are dropped first, those on failures last, and the lost ones are told.
 func TestBlockedOutputHoldsNothingUp(t *testing.T) {
 	is := is.New(t)
 	out := &blockedWriter{open: make(chan struct{})}
-	w := newLineWriter(out)
-	const lines = 2 * logQueue
-	for range lines {
-		_, err := w.Write([]byte(strings.Repeat(".", 100) + "line\n"))
+	w := newLogWriter(out)
+	useLog(t, w)
+	now := time.Unix(0, 0)
+	log.Now = func() time.Time { now = now.Add(time.Second / logLines); return now }
+	defer func() { log.Now = time.Now }()
+	server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		event.CallServed(event.Call{Request: r.URL.Query().Get("id")})
+	}))
+	defer server.Close()
+	for range 2 * logQueue {
+		resp, err := http.Get(server.URL + "?id=well")
 		is.NoErr(err)
+		is.NoErr(resp.Body.Close())
+	}
+	for range logQueue / 8 {
+		event.StoreChanged("10.0.0.1:1", false, nil)
+		event.CallFailed(event.Call{Request: "badly"}, fault.New(fault.Overloaded, fault.NotRun, "full"))
 	}
 	close(out.open)
 	w.flush(10 * time.Second)
-	kept := strings.Count(out.out.String(), "line\n")
-	is.True(kept >= logQueue && kept < lines)
-	is.True(strings.Contains(out.out.String(), "log lines dropped"))
+	text := out.out.String()
+	is.True(strings.Count(text, "request=well") <= logQueue/2+1)
+	is.Equal(strings.Count(text, "request=badly"), logQueue/8)
+	is.Equal(strings.Count(text, "store=10.0.0.1:1"), logQueue/8)
+	is.True(strings.Contains(text, "log lines dropped"))
+}
+
+// A process logs no more in a second than its budget, whatever it meets.
+func TestLogKeepsToItsBudget(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := newLogWriter(&out)
+	useLog(t, w)
+	now := time.Unix(0, 0)
+	log.Now = func() time.Time { return now }
+	defer func() { log.Now = time.Now }()
+	long := errors.New(strings.Repeat("x", 2<<10))
+	const seconds = 3
+	for range seconds {
+		for range 4 * logLines {
+			event.CallServed(event.Call{Request: "well"})
+			event.ProbeFailed("b", nil)
+			event.CallFailed(event.Call{Request: "badly"}, long)
+		}
+		w.flush(10 * time.Second)
+		now = now.Add(time.Second)
+	}
+	w.flush(10 * time.Second)
+	is.True(strings.Count(out.String(), "\n") <= (seconds+1)*logLines)
+	is.True(out.Len() <= (seconds+1)*logBytes)
+	is.True(strings.Count(out.String(), "request=badly") > 100) // failures are told all the same
+}
+
+// BenchmarkLogLine is the cost of one line on a served call.
+func BenchmarkLogLine(b *testing.B) {
+	w := newLogWriter(io.Discard)
+	log.SetHandler(w)
+	defer log.SetHandler(log.HandlerFunc(func(*log.Entry) error { return nil }))
+	// Time runs fast enough for the budget to allow every line.
+	now := time.Unix(0, 0)
+	log.Now = func() time.Time { now = now.Add(time.Millisecond); return now }
+	defer func() { log.Now = time.Now }()
+	call := event.Call{Request: "r-123456", Route: "clamp-verdict", Account: "account-7", Backend: "engine-11", Attempts: 1, View: 812, Table: 4,
+		ViewAge: 30 * time.Millisecond, Took: 410 * time.Millisecond, First: 180 * time.Millisecond,
+		Prompt: &event.Prompt{Tokens: 9190, Opening: 6300, Cached: 6300, Wait: time.Millisecond, Prefill: 60 * time.Millisecond, Weights: 3}}
+	b.ReportAllocs()
+	for b.Loop() {
+		event.CallServed(call)
+	}
 }
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -13,8 +13,7 @@
 	"syscall"
 	"time"
 
-	"github.com/apex/log"
-
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/link"
 )
 
@@ -27,6 +26,8 @@
 	// Context ends when the process has to stop at once; it outlives the planned
 	// stop.
 	Context context.Context
+	// Reason tells what kind of start this is, for the log.
+	Reason string
 
 	// linkAddress and adminAddress are where the process listens.
 	linkAddress  string
@@ -88,8 +89,8 @@
 	if err := p.serveAdmin(); err != nil {
 		return err
 	}
-	log.WithFields(log.Fields{"role": p.Role, "name": p.Settings.Name, "link": p.linkAddress,
-		"admin": p.adminAddress, "domain": p.Settings.Domain, "tls": tlsConfig != nil}).Info("process started")
+	event.ProcessStarted(event.Process{Role: p.Role, Name: p.Settings.Name, Domain: p.Settings.Domain,
+		Link: p.linkAddress, Admin: p.adminAddress, TLS: tlsConfig != nil, Reason: p.Reason})
 	return nil
 }
 
@@ -182,7 +183,7 @@
 }
 
 func (p *Process) drain(signals <-chan os.Signal, drain func(ctx context.Context)) {
-	log.WithField("role", p.Role).Info("planned stop begins")
+	event.StopBegins(p.Role)
 	ctx, cancel := context.WithTimeout(context.Background(), p.Settings.StopDeadline)
 	defer cancel()
 	go func() {
@@ -195,7 +196,7 @@
 	waitGrace(ctx)
 	drain(ctx)
 	p.server.Shutdown(ctx)
-	log.WithFields(log.Fields{"role": p.Role, "complete": ctx.Err() == nil}).Info("planned stop ends")
+	event.StopEnds(p.Role, ctx.Err() == nil)
 }
 
 // waitGrace waits for the balancer to see that the process is not ready.
@@ -218,7 +219,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
 	if err := p.flush(ctx); err != nil {
-		log.WithField("error", err).Warn("traces were not flushed")
+		event.TracesLost(err)
 	}
 	p.flushLog()
 }
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -13,8 +13,8 @@
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/logfmt"
 
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/link"
 )
 
@@ -104,8 +104,8 @@
 // StartLog sends log events to standard output, one line of key=value pairs each.
 // The returned function writes what is left, for a moment at most.
 func (s *Settings) StartLog() (flush func()) {
-	lines := newLineWriter(os.Stdout)
-	log.SetHandler(logfmt.New(lines))
+	lines := newLogWriter(os.Stdout)
+	log.SetHandler(lines)
 	log.SetLevel(log.MustParseLevel(s.LogLevel))
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(libraryLog{})
@@ -118,6 +118,6 @@
 
 // Write implements io.Writer; p is one message.
 func (libraryLog) Write(p []byte) (int, error) {
-	log.WithField("text", strings.TrimSpace(string(p))).Warn("message of a library")
+	event.LibraryMessage(strings.TrimSpace(string(p)))
 	return len(p), nil
 }
--- /dev/null
+++ b/internal/event/vocabulary_test.go
@@ -0,0 +1,248 @@
+package event_test
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/logfmt"
+	"github.com/matryer/is"
+
+	"parsleypulley/internal/event"
+	"parsleypulley/internal/fault"
+)
+
+const root = "../.."
+
+// setup is what other packages may use of the log library: it sets up where
+// events go.
+var setup = map[string]bool{"SetHandler": true, "SetLevel": true, "MustParseLevel": true, "Entry": true, "Handler": true}
+
+// tools are the commands that print their results.
+var tools = map[string]bool{"parsleypulley": true, "loadgen": true}
+
+// No process writes a log line outside the vocabulary: other packages neither
+// call the log library nor the standard logger, and write no text to standard
+// output or standard error.
+func TestOnlyThisPackageLogs(t *testing.T) {
+	is := is.New(t)
+	files := 0
+	for _, dir := range []string{"internal", "cmd", "platform"} {
+		is.NoErr(filepath.WalkDir(filepath.Join(root, dir), func(path string, d fs.DirEntry, err error) error {
+			if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") ||
+				strings.Contains(path, "internal/event/") {
+				return err
+			}
+			files++
+			checkFile(t, path)
+			return nil
+		}))
+	}
+	is.True(files > 100)
+}
+
+func checkFile(t *testing.T, path string) {
+	t.Helper()
+	set := token.NewFileSet()
+	file, err := parser.ParseFile(set, path, nil, parser.SkipObjectResolution)
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := map[string]string{}
+	for _, i := range file.Imports {
+		at := strings.Trim(i.Path.Value, `"`)
+		name := at[strings.LastIndex(at, "/")+1:]
+		if i.Name != nil {
+			name = i.Name.Name
+		}
+		names[name] = at
+	}
+	ast.Inspect(file, func(n ast.Node) bool {
+		s, ok := n.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+		x, ok := s.X.(*ast.Ident)
+		if !ok {
+			return true
+		}
+		at, isTool := names[x.Name], tools[filepath.Base(filepath.Dir(path))]
+		switch {
+		case at == "github.com/apex/log" && !setup[s.Sel.Name],
+			at == "log" && s.Sel.Name != "SetFlags" && s.Sel.Name != "SetOutput",
+			at == "log/slog",
+			at == "fmt" && strings.HasPrefix(s.Sel.Name, "Print") && !isTool:
+			t.Errorf("%s: %s.%s: log lines are events of package event", set.Position(s.Pos()), at, s.Sel.Name)
+		}
+		return true
+	})
+}
+
+// vocabulary has all events, called with values that are told apart.
+var vocabulary = map[string]any{
+	"ProcessStarted": event.ProcessStarted, "ProcessFailed": event.ProcessFailed, "StopBegins": event.StopBegins,
+	"StopEnds": event.StopEnds, "StopCut": event.StopCut, "PartEnded": event.PartEnded, "TracesLost": event.TracesLost,
+	"LibraryMessage": event.LibraryMessage, "Listening": event.Listening, "ReadinessChanged": event.ReadinessChanged,
+	"SettingsReread": event.SettingsReread, "SettingsUnread": event.SettingsUnread, "DataDamaged": event.DataDamaged,
+	"DiskFull": event.DiskFull, "DiskWritable": event.DiskWritable, "StandinStarted": event.StandinStarted,
+	"StandinCrashed": event.StandinCrashed,
+	"CallServed":     event.CallServed, "CallFailed": event.CallFailed, "ForwardFailed": event.ForwardFailed,
+	"ChatAnswered": event.ChatAnswered, "ChatFailed": event.ChatFailed, "AttemptFailed": event.AttemptFailed,
+	"OnceFailed": event.OnceFailed, "DispatchFailed": event.DispatchFailed, "ImportFailed": event.ImportFailed,
+	"CrashUnreported": event.CrashUnreported,
+	"ViewAdopted":     event.ViewAdopted, "ViewUnconfirmed": event.ViewUnconfirmed, "ViewConfirmed": event.ViewConfirmed,
+	"ViewSourceFailed": event.ViewSourceFailed, "ReplicasChanged": event.ReplicasChanged, "StoreChanged": event.StoreChanged,
+	"BackendDown": event.BackendDown, "BackendUp": event.BackendUp, "DrainChanged": event.DrainChanged,
+	"ControlLost": event.ControlLost, "ControlRegained": event.ControlRegained, "ProbeFailed": event.ProbeFailed,
+	"CacheEventsUnread": event.CacheEventsUnread, "OrderFinished": event.OrderFinished,
+	"RoleChanged": event.RoleChanged, "ReplicaFailed": event.ReplicaFailed, "SnapshotInstalled": event.SnapshotInstalled,
+	"SnapshotSaved": event.SnapshotSaved, "ReplicaPaused": event.ReplicaPaused, "LeadershipKept": event.LeadershipKept,
+	"Leading": event.Leading, "TermNotStarted": event.TermNotStarted, "CommandLost": event.CommandLost,
+	"BackendChanged": event.BackendChanged, "BackendUnchanged": event.BackendUnchanged, "BackendLeaves": event.BackendLeaves,
+	"ReportsMissing": event.ReportsMissing, "ReportMissing": event.ReportMissing, "DigestRefused": event.DigestRefused,
+	"CacheEventsLost": event.CacheEventsLost, "WeightsLoading": event.WeightsLoading, "OrderRefused": event.OrderRefused,
+	"WeightsNamed": event.WeightsNamed, "TableAcknowledged": event.TableAcknowledged, "TableRefused": event.TableRefused,
+	"ControlCallFailed": event.ControlCallFailed, "ControlAnswerLost": event.ControlAnswerLost,
+	"OperatorFailed": event.OperatorFailed, "OperatorUnknown": event.OperatorUnknown, "ChangeDecided": event.ChangeDecided,
+	"OperatorBackendChange": event.OperatorBackendChange, "Bootstrapped": event.Bootstrapped, "ReplicaRemoved": event.ReplicaRemoved,
+}
+
+// Every event is in the table above, is one line, shows every value that it is
+// given, and stands in docs/EVENTS.md with its name and fields.
+func TestEventsShowWhatTheyAreGiven(t *testing.T) {
+	is := is.New(t)
+	for _, name := range declared(t) {
+		is.True(vocabulary[name] != nil) // an event is missing from the table
+	}
+	is.Equal(len(declared(t)), len(vocabulary))
+	page, err := os.ReadFile(filepath.Join(root, "docs/EVENTS.md"))
+	is.NoErr(err)
+	var out bytes.Buffer
+	log.SetHandler(logfmt.New(&out))
+	log.SetLevel(log.DebugLevel)
+	for name, f := range vocabulary {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			out.Reset()
+			v := reflect.ValueOf(f)
+			var in []reflect.Value
+			var given []string
+			for i := range v.Type().NumIn() {
+				value := reflect.New(v.Type().In(i)).Elem()
+				fill(value, &given)
+				in = append(in, value)
+			}
+			v.Call(in)
+			line := out.String()
+			is.Equal(strings.Count(line, "\n"), 1)
+			for _, g := range given {
+				if !shows(line, g) {
+					t.Errorf("%q is not in %s", g, line)
+				}
+			}
+			if want := row(line); !bytes.Contains(page, []byte(want)) {
+				t.Errorf("docs/EVENTS.md has no row: %s %s", name, want)
+			}
+		})
+	}
+}
+
+// row returns the beginning of the row of docs/EVENTS.md on the event of a line.
+func row(line string) string {
+	message := regexp.MustCompile(`message="?([^"=]+?)"?( \w+=|\n)`).FindStringSubmatch(line)[1]
+	var names []string
+	for _, m := range regexp.MustCompile(`(\w+)=`).FindAllStringSubmatch(line, -1)[3:] {
+		names = append(names, m[1])
+	}
+	return fmt.Sprintf("| `%s` | %s |", message, strings.Join(names, ", "))
+}
+
+// shows reports whether a value stands in a line; numbers may be in hexadecimal.
+func shows(line, value string) bool {
+	if number, ok := strings.CutPrefix(value, "="); ok {
+		if n, err := strconv.ParseUint(number, 10, 64); err == nil && strings.Contains(line, fmt.Sprintf("=%x", n)) {
+			return true
+		}
+	}
+	return strings.Contains(line, value)
+}
+
+// declared returns the names of the exported functions of the package that log.
+func declared(t *testing.T) []string {
+	t.Helper()
+	paths, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, path := range paths {
+		if strings.HasSuffix(path, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range file.Decls {
+			if f, ok := d.(*ast.FuncDecl); ok && f.Recv == nil && f.Name.IsExported() && f.Type.Results == nil {
+				names = append(names, f.Name.Name)
+			}
+		}
+	}
+	return names
+}
+
+// next numbers the values, so that each is told from the others.
+var next = 1000
+
+// fill gives a value contents that are found again in a line.
+func fill(v reflect.Value, given *[]string) {
+	next++
+	switch {
+	case v.Type() == reflect.TypeFor[error]():
+		v.Set(reflect.ValueOf(errors.New(fmt.Sprint("cause-", next))))
+		*given = append(*given, fmt.Sprint("cause-", next))
+	case v.Type() == reflect.TypeFor[*fault.Error]():
+		v.Set(reflect.ValueOf(fault.New(fault.Overloaded, fault.NotRun, "cause-%d", next)))
+		*given = append(*given, fmt.Sprint("cause-", next), fault.Overloaded.String(), fault.NotRun.String())
+	case v.Kind() == reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem(), given)
+	case v.Kind() == reflect.Struct:
+		for i := range v.NumField() {
+			fill(v.Field(i), given)
+		}
+	case v.Kind() == reflect.String:
+		v.SetString(fmt.Sprint("text-", next))
+		*given = append(*given, v.String())
+	case v.Kind() == reflect.Bool:
+		v.SetBool(true)
+		*given = append(*given, "=true")
+	case v.Kind() == reflect.Slice:
+		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
+		fill(v.Index(0), given)
+	case v.Type().String() == "time.Duration":
+		v.SetInt(int64(next) * 1e6)
+		*given = append(*given, fmt.Sprint("=", next))
+	case v.CanUint():
+		v.SetUint(uint64(next))
+		*given = append(*given, fmt.Sprint("=", next))
+	case v.CanInt():
+		v.SetInt(int64(next))
+		*given = append(*given, fmt.Sprint("=", next))
+	default:
+		panic(v.Type().String())
+	}
+}
--- a/internal/follow/driver.go
+++ b/internal/follow/driver.go
@@ -11,8 +11,7 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
-
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/view"
@@ -135,7 +134,7 @@
 func (d *Driver) carry(ctx, callCtx context.Context, a view.Action) {
 	err := d.receive(ctx, callCtx, a)
 	if err != nil && callCtx.Err() == nil {
-		log.WithFields(log.Fields{"address": a.Address, "error": err}).Debug("view source failed")
+		event.ViewSourceFailed(a.Address, err)
 	}
 	d.step(ctx, func(now time.Time) []view.Action {
 		d.end(a.Call)
@@ -197,7 +196,7 @@
 			d.follower.Learn(view.Source{Address: address, Role: view.RoleControl})
 		}
 	}
-	log.WithField("control", strings.Join(addresses, ",")).Info("control replicas changed")
+	event.ReplicasChanged(strings.Join(addresses, ","))
 	if d.opts.ControlChanged != nil {
 		d.opts.ControlChanged(addresses)
 	}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -8,8 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/apex/log"
-
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 )
 
@@ -46,40 +45,39 @@
 
 // finish gives the final answer of a call that failed, and logs the call.
 func (x *forwarding) finish(err error) {
-	fields := log.Fields{
-		"route": x.route.GetName(), "account": x.account.GetName(), "backend": x.backend, "attempts": x.Sends(),
-		"view": x.snapshot.Version, "table": x.snapshot.Routes.Version(), "view_age_ms": x.f.opts.Freshness().Age.Milliseconds(),
-		"ms": time.Since(x.arrived).Milliseconds(),
-	}
-	if x.call != nil {
-		fields["request"] = x.call.ID
-	}
-	if x.first > 0 {
-		fields["first_ms"] = x.first.Milliseconds()
-	}
-	if d := x.choice; d != nil && len(x.levels) > 0 {
-		fields["prompt"], fields["opening"], fields["cached"] = d.PromptTokens, sharedTokens(x.levels), d.CachedTokens
-		fields["wait_ms"], fields["prefill_ms"], fields["weights"] = d.Wait.Milliseconds(), d.Prefill.Milliseconds(), d.Weights
-		fields["import"], fields["save"] = x.from, x.to
-	}
-	if len(x.outcomes) > 0 {
-		fields["outcomes"] = x.outcomes
-	}
+	about := x.about()
 	if err == nil {
-		record(x.route, time.Now(), x.arrived, x.first)
-		log.WithFields(fields).Info("call served")
+		countCall(x.route, served)
+		recordTimes(x.route, time.Now(), x.arrived, x.first)
+		event.CallServed(about)
 		return
 	}
 	e := fault.From(err)
-	calls.Add(e.Kind.String(), 1)
-	fields["kind"], fields["ran"], fields["error"] = e.Kind.String(), e.Outcome.String(), err
-	log.WithFields(fields).Warn("call failed")
+	countCall(x.route, e.Kind.String())
+	event.CallFailed(about, err)
 	if errors.Is(err, errAborted) || e.Kind == fault.Cancelled {
 		panic(http.ErrAbortHandler)
 	}
 	x.refuse(e)
 }
 
+// about returns what the log says of the call.
+func (x *forwarding) about() event.Call {
+	call := event.Call{
+		Route: x.route.GetName(), Account: x.account.GetName(), Backend: x.backend, Attempts: x.Sends(), Outcomes: x.outcomes,
+		View: x.snapshot.Version, Table: x.snapshot.Routes.Version(), ViewAge: x.f.opts.Freshness().Age,
+		Took: time.Since(x.arrived), First: x.first,
+	}
+	if x.call != nil {
+		call.Request = x.call.ID
+	}
+	if d := x.choice; d != nil && len(x.levels) > 0 {
+		call.Prompt = &event.Prompt{Tokens: d.PromptTokens, Opening: sharedTokens(x.levels), Cached: d.CachedTokens,
+			Wait: d.Wait, Prefill: d.Prefill, Weights: d.Weights, Import: x.from, Save: x.to}
+	}
+	return call
+}
+
 // refuse writes the answer to a call that failed.
 func (x *forwarding) refuse(e *fault.Error) {
 	status := e.Kind.Answer().Status
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,8 +8,7 @@
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
-
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/routing"
 )
@@ -17,10 +16,8 @@
 // attempt runs one attempt and returns what follows; a zero step is the end.
 func (x *forwarding) attempt() Step {
 	now := time.Now()
-	d, err := x.f.choose.start(now, &routing.Request{
+	d, err := x.f.choose.start(now, x.call.Model, &routing.Request{
 		Service: x.service, Account: x.salt, Levels: x.levels, OutputTokens: x.call.OutputTokens, Tried: x.tried,
-		RequireWeights: x.f.choose.required(now, x.call.Model),
-		PreferWeights:  x.f.choose.preferred(now, x.call.Model),
 	}, x.patience())
 	if err != nil {
 		if x.Sends() == 0 {
@@ -33,6 +30,7 @@
 	x.tried = append(x.tried, x.backend)
 	fail, step := x.run(now, d)
 	if fail == nil {
+		countAttempt(x.backend, answered)
 		return step
 	}
 	now = time.Now()
@@ -40,11 +38,11 @@
 		x.f.choose.failed(now, d, fault.Cancelled)
 		return Step{Err: fault.New(fault.Cancelled, fault.Unknown, "the caller has left")}
 	}
-	attempts.Add(fail.outcome.String(), 1)
+	countAttempt(x.backend, fail.outcome.String())
 	x.f.choose.failed(now, d, outcomeKinds[fail.outcome])
 	x.outcomes = append(x.outcomes, fmt.Sprintf("%s:%s", x.backend, fail.outcome))
-	log.WithFields(log.Fields{"request": x.call.ID, "backend": x.backend, "address": d.Backend.GetAddress(),
-		"attempt": x.Sends(), "outcome": fail.outcome.String(), "error": fail.err, "view": x.snapshot.Version}).Warn("attempt failed")
+	event.ForwardFailed(event.Attempt{Request: x.call.ID, Backend: x.backend, Address: d.Backend.GetAddress(), Number: x.Sends(),
+		View: x.snapshot.Version}, fail.outcome.String(), fail.err)
 	return x.Next(now, fail.outcome, func() bool { return x.f.choose.mayRetry(now, x.service) })
 }
 
@@ -73,6 +71,7 @@
 	if fail != nil {
 		return fail, Step{}
 	}
+	hops.head.Record(time.Now(), time.Since(now))
 	outcome := judge(reply)
 	switch {
 	case outcome == 0 && x.route.GetStream():
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -66,34 +66,20 @@
 	}
 }
 
-// required returns the version of a model's weights below which engines must not
-// be used any more, or 0.
-func (c *chooser) required(now time.Time, model string) uint64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	version := uint64(0)
-	for _, known := range c.named[model] {
+// weights returns the versions of a model's weights below which engines must not
+// be used any more, and below which they are to be passed over; 0 for none. c.mu
+// is held.
+func (c *chooser) weights(now time.Time, model string) (required, preferred uint64) {
+	versions := c.named[model]
+	for _, known := range versions {
 		if c.weightsBound > 0 && now.Sub(known.at) >= c.weightsBound {
-			version = known.version
+			required = known.version
 		}
 	}
-	return version
-}
-
-// preferred returns the version of a model's weights below which engines are to
-// be passed over, or 0.
-func (c *chooser) preferred(now time.Time, model string) uint64 {
-	c.mu.Lock()
-	versions := c.named[model]
-	c.mu.Unlock()
-	if len(versions) == 0 {
-		return 0
-	}
-	known := versions[len(versions)-1]
-	if now.Sub(known.at) < preferAfter {
-		return 0
+	if n := len(versions); n > 0 && now.Sub(versions[n-1].at) >= preferAfter {
+		preferred = versions[n-1].version
 	}
-	return known.version
+	return required, preferred
 }
 
 // loads takes the load reports of a digest.
@@ -105,12 +91,14 @@
 	}
 }
 
-// start chooses a backend server and notes the attempt as sent. Where even the
+// start chooses a backend server for a call to model, empty for none, and notes the
+// attempt as sent. It fills in the weights that req asks for. Where even the
 // best one would take longer than patience until the first token, the call is
 // refused with the time after which it would not; 0 is no bound.
-func (c *chooser) start(now time.Time, req *routing.Request, patience time.Duration) (*routing.Decision, error) {
+func (c *chooser) start(now time.Time, model string, req *routing.Request, patience time.Duration) (*routing.Decision, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	req.RequireWeights, req.PreferWeights = c.weights(now, model)
 	d, err := c.router.Choose(now, req)
 	if err != nil {
 		return nil, err
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -22,8 +22,10 @@
 	// Seed draws the random choices.
 	Seed  uint64
 	Views *view.Store
-	// Freshness tells how well the view is known to be the newest.
+	// Freshness tells how well the view is known to be the newest, and Source from
+	// which address it is followed; nil is not told.
 	Freshness func() view.Freshness
+	Source    func() string
 	Dialect   Dialect
 	Budget    BudgetLimits
 	// RevokeBound is the greatest age of a confirmation by which calls with a key
@@ -81,17 +83,20 @@
 func (f *Forwarder) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	belief := belief{source: f.opts.Source}
 	for {
 		changed := f.opts.Views.Changed()
 		s := f.opts.Views.Load()
 		f.choose.adopt(time.Now(), s)
 		f.stores.follow(ctx, s)
+		belief.adopt(s)
 		select {
 		case <-ctx.Done():
 			return
 		case <-changed:
 		case now := <-ticker.C:
 			f.upstream.sweep(now, addresses(s))
+			belief.confirm(s, f.opts.Freshness())
 		}
 	}
 }
--- a/internal/forward/stores.go
+++ b/internal/forward/stores.go
@@ -6,8 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
-
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/prefix"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
@@ -34,7 +33,7 @@
 }
 
 func newStores() *stores {
-	return &stores{dialer: newUpstream().dialer, watched: map[string]*watchedStore{}}
+	return &stores{dialer: newDialer(), watched: map[string]*watchedStore{}}
 }
 
 // follow watches the stores that the route table declares, and no others.
@@ -110,7 +109,7 @@
 		return
 	}
 	w.up = up
-	log.WithFields(log.Fields{"store": address, "up": up, "error": err}).Info("store of cached state changed")
+	event.StoreChanged(address, up, err)
 }
 
 // nearest returns the address of a store that is up, one in the failure domain
--- a/internal/forward/upstream.go
+++ b/internal/forward/upstream.go
@@ -61,10 +61,13 @@
 }
 
 func newUpstream() *upstream {
-	u := &upstream{idle: map[string][]*conn{}}
-	u.dialer = net.Dialer{Timeout: dialTimeout, Control: controlSocket,
+	return &upstream{dialer: newDialer(), idle: map[string][]*conn{}}
+}
+
+// newDialer returns a dialer whose connections end soon after a silent cut.
+func newDialer() net.Dialer {
+	return net.Dialer{Timeout: dialTimeout, Control: controlSocket,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: 2}}
-	return u
 }
 
 // controlSocket makes silent cuts end a connection soon.
@@ -109,6 +112,7 @@
 		connections.Add("failed", 1)
 		return nil, err
 	}
+	hops.connect.Record(time.Now(), time.Since(now))
 	connections.Add("opened", 1)
 	return &conn{Conn: raw, address: address, r: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,13 +12,13 @@
 	"strconv"
 	"time"
 
-	"github.com/apex/log"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
 	"parsleypulley/internal/account"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 )
 
@@ -234,30 +234,10 @@
 }
 
 func (g *Gateway) logCall(req *Request, resp *responder, err error) {
-	if err == nil && !debugLogged() {
-		return
-	}
-	fields := log.Fields{
-		"request":  req.ID,
-		"account":  req.Caller.Account,
-		"status":   resp.status,
-		"chunks":   resp.chunks,
-		"duration": g.now().Sub(req.Arrived),
-	}
+	call := event.ChatCall{Request: req.ID, Account: req.Caller.Account, Status: resp.status, Chunks: resp.chunks, Took: g.now().Sub(req.Arrived)}
 	if err == nil {
-		log.WithFields(fields).Debug("call answered")
+		event.ChatAnswered(call)
 		return
 	}
-	e := fault.From(err)
-	fields["kind"] = e.Kind.String()
-	fields["ran"] = e.Outcome.String()
-	fields["error"] = e.Text()
-	log.WithFields(fields).Info("call failed")
-}
-
-// debugLogged tells whether events at level debug are logged, so that a call that
-// went well builds no fields in vain.
-func debugLogged() bool {
-	logger, ok := log.Log.(*log.Logger)
-	return !ok || logger.Level <= log.DebugLevel
+	event.ChatFailed(call, fault.From(err))
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -12,15 +12,13 @@
 	"slices"
 	"time"
 
-	"github.com/apex/log"
-
 	"parsleypulley/internal/consensus"
 	"parsleypulley/internal/control"
 	"parsleypulley/internal/controlclient"
 	"parsleypulley/internal/daemon"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/link"
-	"parsleypulley/internal/storage"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -61,26 +59,12 @@
 		return err
 	}
 	awaitSpace(p.Context, o.Data)
-	store, damage, err := storage.OpenOrReset(o.Data, storage.Options{})
-	if err != nil {
-		return fmt.Errorf("open data folder: %w", err)
-	}
-	defer store.Close()
-	if damage != nil {
-		log.WithFields(log.Fields{"data": o.Data, "damage": damage}).Error("data folder was damaged; joining as a new replica")
-	}
-	machine := control.NewMachine(control.DefaultLimits())
-	node, err := consensus.Start(consensus.Config{
-		Store:     store,
-		Machine:   machine,
-		Transport: control.NewTransport(p.Context, p.Pool, &wire.Replica{Id: store.Identity(), Address: o.Settings.Address()}),
-		Address:   o.Settings.Address(),
-		Peers:     o.Settings.Control,
-	})
+	replica, err := StartReplica(p, o.Data, o.Settings.Control)
 	if err != nil {
-		return fmt.Errorf("start replica: %w", err)
+		return err
 	}
-	defer node.Stop()
+	defer replica.Close()
+	node, machine := replica.Node, replica.Machine
 	leader := controlclient.New(p.Pool, o.Settings.Control, machine.Log().Version)
 	leader.SetCallTimeout(forwardTimeout)
 	o.Control.Forward = leader
@@ -114,7 +98,7 @@
 	p.Go(func() error {
 		<-node.Done()
 		if isFull(node.Err()) {
-			log.WithField("error", node.Err()).Error("the replica stopped; it starts anew once the disk takes writes")
+			event.ReplicaPaused(node.Err())
 			awaitSpace(p.Context, o.Data)
 		}
 		return node.Err()
@@ -146,7 +130,7 @@
 	})
 	return func(ctx context.Context) {
 		if err := server.Shutdown(ctx); err != nil {
-			log.WithFields(log.Fields{"listener": name, "error": err}).Warn("requests were cut at the planned stop")
+			event.StopCut(name, err)
 		}
 	}, nil
 }
@@ -183,6 +167,6 @@
 		return
 	}
 	if err := node.Transfer(ctx); err != nil && !fault.Is(err, fault.NotLeader) {
-		log.WithField("error", err).Warn("leadership was not handed over")
+		event.LeadershipKept(err)
 	}
 }
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -8,9 +8,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
-
 	"parsleypulley/internal/daemon"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/follow"
 	"parsleypulley/internal/forward"
@@ -63,7 +62,7 @@
 		Loads: func(digest *wire.LoadDigest) { forwarder.Loads(digest) },
 	})
 	forwarder = forward.New(forward.Options{
-		Domain: o.Settings.Domain, Seed: SeedOf(o.Settings.Name), Views: views.Store(), Freshness: driver.Freshness,
+		Domain: o.Settings.Domain, Seed: SeedOf(o.Settings.Name), Views: views.Store(), Freshness: driver.Freshness, Source: driver.Source,
 		Dialect: o.Dialect, Budget: o.Budget, RevokeBound: o.RevokeBound, WeightsBound: o.WeightsBound,
 	})
 	daemon.PublishView(views, driver)
@@ -90,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	log.WithField("address", o.Listen).Info("serving callers")
+	event.Listening(o.Listen, "callers")
 	return p.Wait(func(ctx context.Context) {
 		stopping.Store(true)
 		forwarder.Stop()
@@ -120,7 +119,7 @@
 			err = errors.New("stopping")
 		}
 		if was.Swap(err == nil) != (err == nil) {
-			log.WithFields(log.Fields{"ready": err == nil, "reason": err}).Info("readiness changed")
+			event.ReadinessChanged(err)
 		}
 		if err != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/node/space.go
+++ b/internal/node/space.go
@@ -8,7 +8,7 @@
 	"syscall"
 	"time"
 
-	"github.com/apex/log"
+	"parsleypulley/internal/event"
 )
 
 const (
@@ -31,13 +31,13 @@
 		err := probeSpace(data)
 		if !isFull(err) {
 			if told {
-				log.WithField("data", data).Info("the disk takes writes again")
+				event.DiskWritable(data)
 			}
 			return // other errors are met, and told, by the store
 		}
 		if !told {
 			told = true
-			log.WithFields(log.Fields{"data": data, "error": err}).Error("the disk is full; waiting for room")
+			event.DiskFull(data, err)
 		}
 		sleep(ctx, spacePoll)
 	}
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -8,10 +8,10 @@
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"parsleypulley/internal/account"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/wire"
 )
@@ -53,8 +53,9 @@
 // call is one authenticated request.
 type call struct {
 	*http.Request
-	w   http.ResponseWriter
-	log *log.Entry
+	w http.ResponseWriter
+	// about names the request in events.
+	about event.OperatorCall
 }
 
 // route serves path with one method and refuses the others.
@@ -65,24 +66,19 @@
 			writeError(w, fault.New(fault.MethodNotAllowed, fault.NotRun, "use %s", method))
 			return
 		}
-		c := &call{Request: r, w: w, log: requestLog(r)}
+		c := &call{Request: r, w: w, about: aboutCall(r)}
 		if err := serve(c); err != nil {
-			c.log.WithField("error", err).Warn("operator request failed")
+			event.OperatorFailed(c.about, err)
 			writeError(w, err)
 		}
 	})
 }
 
-// requestLog names the operator's key by the start of its digest.
-func requestLog(r *http.Request) *log.Entry {
+// aboutCall names the operator's key by the start of its digest.
+func aboutCall(r *http.Request) event.OperatorCall {
 	key, _ := account.Bearer(r.Header.Get("Authorization"))
 	digest := account.Digest(key)
-	return log.WithFields(log.Fields{
-		"operator_key": hex.EncodeToString(digest[:keyIDBytes]),
-		"method":       r.Method,
-		"path":         r.URL.Path,
-		"peer":         r.RemoteAddr,
-	})
+	return event.OperatorCall{Key: hex.EncodeToString(digest[:keyIDBytes]), Method: r.Method, Path: r.URL.Path, Peer: r.RemoteAddr}
 }
 
 // ServeHTTP implements http.Handler. It authenticates before it looks at
@@ -90,7 +86,7 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	key, ok := account.Bearer(r.Header.Get("Authorization"))
 	if !ok || !h.keys.Holds(key) {
-		log.WithFields(log.Fields{"path": r.URL.Path, "peer": r.RemoteAddr}).Warn("operator request refused: unknown key")
+		event.OperatorUnknown(r.URL.Path, r.RemoteAddr)
 		w.Header().Set("WWW-Authenticate", "Bearer")
 		writeError(w, fault.New(fault.Unauthenticated, fault.NotRun, "the request carries no known operator key"))
 		return
@@ -132,14 +128,8 @@
 		return err
 	}
 	result := changeResult(decided)
-	c.log.WithFields(log.Fields{
-		"change_id":     change.ChangeId,
-		"operator":      change.Operator,
-		"base_revision": change.BaseRevision,
-		"status":        result.Status,
-		"revision":      result.Revision,
-		"repeated":      result.Repeated,
-	}).Info("configuration change decided")
+	event.ChangeDecided(c.about, event.Change{ID: change.ChangeId, Operator: change.Operator, BaseRevision: change.BaseRevision,
+		Status: string(result.Status), Revision: result.Revision, Repeated: result.Repeated})
 	writeJSON(c.w, changeHTTPStatus(result.Status), result)
 	return nil
 }
@@ -193,7 +183,7 @@
 	if err != nil {
 		return err
 	}
-	c.log.WithFields(log.Fields{"backend": name, "accepted": result.Accepted, "problem": result.Problem}).Info("backend server change decided")
+	event.OperatorBackendChange(c.about, name, result.Accepted, result.Problem)
 	status := http.StatusOK
 	if !result.Accepted {
 		status = http.StatusConflict
@@ -215,7 +205,7 @@
 	if err := h.control.Bootstrap(c.Context()); err != nil {
 		return err
 	}
-	c.log.Info("installation bootstrapped")
+	event.Bootstrapped(c.about)
 	writeJSON(c.w, http.StatusOK, struct{}{})
 	return nil
 }
@@ -231,7 +221,7 @@
 	if err := h.control.RemoveReplica(c.Context(), uint64(id)); err != nil {
 		return err
 	}
-	c.log.WithField("replica", id).Info("control replica removed")
+	event.ReplicaRemoved(c.about, id.String())
 	writeJSON(c.w, http.StatusOK, struct{}{})
 	return nil
 }
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -6,10 +6,10 @@
 	"io"
 	"time"
 
-	"github.com/apex/log"
 	"go.opentelemetry.io/otel/propagation"
 
 	"parsleypulley/internal/dispatch"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/routing"
@@ -194,12 +194,5 @@
 	if cancelled {
 		return
 	}
-	log.WithFields(log.Fields{
-		"request": c.plan.req.ID,
-		"attempt": run.number,
-		"backend": run.decision.Backend.Name,
-		"kind":    e.Kind.String(),
-		"ran":     e.Outcome.String(),
-		"error":   e.Text(),
-	}).Info("attempt failed")
+	event.AttemptFailed(event.Attempt{Request: c.plan.req.ID, Number: int(run.number), Backend: run.decision.Backend.Name}, e)
 }
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -4,9 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/apex/log"
-
 	"parsleypulley/internal/dispatch"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/routing"
 	"parsleypulley/internal/wire"
 )
@@ -42,7 +41,7 @@
 	defer cancel()
 	result, err := r.opts.Control.Propose(ctx, &wire.Command{Body: &wire.Command_Crash{Crash: report}})
 	if err != nil {
-		log.WithFields(log.Fields{"request": report.RequestId, "error": err}).Warn("crash report failed")
+		event.CrashUnreported(report.RequestId, err)
 		return nil
 	}
 	return result.GetCrash()
--- a/internal/router/once.go
+++ b/internal/router/once.go
@@ -9,9 +9,8 @@
 	"net/http"
 	"time"
 
-	"github.com/apex/log"
-
 	"parsleypulley/internal/dispatch"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/gateway"
 	"parsleypulley/internal/link"
@@ -194,8 +193,7 @@
 	c.settle(err)
 	if err != nil {
 		e := fault.From(err)
-		log.WithFields(log.Fields{"request": c.plan.req.ID, "backend": record.Backend, "kind": e.Kind.String(),
-			"ran": e.Outcome.String(), "error": e.Text()}).Info("at-most-once dispatch failed")
+		event.OnceFailed(c.plan.req.ID, record.Backend, e)
 		c.post(dispatch.DispatchFailed{Err: e})
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,12 +9,12 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/apex/log"
 	"go.opentelemetry.io/otel"
 
 	"parsleypulley/internal/admission"
 	"parsleypulley/internal/controlclient"
 	"parsleypulley/internal/dispatch"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/gateway"
 	"parsleypulley/internal/link"
@@ -263,7 +263,7 @@
 		Body:        &wire.Request_Probe{Probe: &wire.Probe{}},
 	})
 	if err != nil {
-		log.WithFields(log.Fields{"backend": b.Name, "error": err}).Debug("probe failed")
+		event.ProbeFailed(b.Name, err)
 		return
 	}
 	r.tellVersion(resp.ViewVersion, b.AgentAddress)
--- a/internal/routes/compiled.go
+++ b/internal/routes/compiled.go
@@ -88,6 +88,11 @@
 // Stores returns the declared stores of cached state.
 func (c *Compiled) Stores() []*wire.CacheStore { return c.stores }
 
+// Has reports whether there is a route called name.
+func (c *Compiled) Has(name string) bool {
+	return slices.ContainsFunc(c.Table.GetRoutes(), func(r *wire.ForwardRoute) bool { return r.GetName() == name })
+}
+
 // Pick returns the service of a route for a value drawn uniformly from 0 to
 // Total-1.
 func Pick(r *wire.ForwardRoute, draw uint64) string {
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/apex/log"
+	"parsleypulley/internal/event"
 )
 
 // Server is a stand-in backend server. A crash ends its life: the listener and
@@ -94,7 +94,7 @@
 	if s.closed || s.life == nil {
 		return
 	}
-	log.WithField("incarnation", s.life.incarnation).Info("stand-in crashed")
+	event.StandinCrashed(s.life.incarnation)
 	s.life.stop()
 	s.life = nil
 	go s.restart()
--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -83,17 +83,6 @@
 // Message returns the snapshot as a message, which must not be modified.
 func (s *Snapshot) Message() *wire.View { return s.message() }
 
-// Weights returns the version of a model's weights that engines are to hold; 0
-// when none has been named.
-func (s *Snapshot) Weights(model string) uint64 {
-	for _, target := range s.weights {
-		if target.GetModel() == model {
-			return target.GetVersion()
-		}
-	}
-	return 0
-}
-
 // WeightsTargets returns the versions that engines are to hold. The slice must
 // not be modified.
 func (s *Snapshot) WeightsTargets() []*wire.WeightsTarget { return s.weights }
