--- a/internal/control/outside.go
+++ b/internal/control/outside.go
@@ -49,6 +49,42 @@
 	return err
 }
 
+// Relay serves callers outside of the links on a VM that keeps no replica: it
+// passes all calls on to the leader.
+type Relay struct {
+	client *controlclient.Client
+}
+
+// NewRelay returns a relay that finds the leader through client.
+func NewRelay(client *controlclient.Client) *Relay { return &Relay{client: client} }
+
+// PutRoutes has a route table committed.
+func (r *Relay) PutRoutes(ctx context.Context, change *wire.RouteTableChange) (*wire.RouteTableResult, error) {
+	result, err := r.client.Propose(ctx, &wire.Command{Body: &wire.Command_RouteTable{RouteTable: change}})
+	if err != nil {
+		return nil, err
+	}
+	return result.GetRouteTable(), nil
+}
+
+// PutWeights has the version of a model's weights committed.
+func (r *Relay) PutWeights(ctx context.Context, target *wire.WeightsTarget) error {
+	_, err := r.client.Propose(ctx, &wire.Command{Body: &wire.Command_Weights{Weights: target}})
+	return err
+}
+
+// ReadRoutes returns the declaration behind the newest route table, or an error
+// when the newest one is not known for sure.
+func (r *Relay) ReadRoutes(ctx context.Context) (*wire.RouteDocument, error) {
+	return r.client.ReadRoutes(ctx)
+}
+
+// Announce renews the lease of a backend server without an agent.
+func (r *Relay) Announce(ctx context.Context, announce *wire.Announce) error {
+	_, err := r.client.Announce(ctx, announce)
+	return err
+}
+
 // toLeader returns the client of the leader. The leader that this replica hears is
 // asked first: one that has frozen doesn't tell that another leads.
 func (s *Service) toLeader() *controlclient.Client {
--- a/internal/follow/driver.go
+++ b/internal/follow/driver.go
@@ -91,9 +91,7 @@
 
 // addAgents offers a few agents of the view as sources, spread by the seed.
 func (d *Driver) addAgents(s *view.Snapshot) {
-	d.mu.Lock()
-	sources := append([]view.Source(nil), d.opts.Sources...)
-	d.mu.Unlock()
+	sources := d.configured()
 	members := s.Members()
 	for i := range min(maxAgentSources, len(members)) {
 		m := members[(int(d.opts.Seed%uint64(len(members)))+i)%len(members)]
@@ -106,6 +104,20 @@
 	d.follower.SetSources(sources)
 }
 
+// configured returns the sources known from the settings. Once the control
+// replicas are known, other control addresses pass for less: they only follow.
+func (d *Driver) configured() []view.Source {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	sources := slices.Clone(d.opts.Sources)
+	for i, source := range sources {
+		if source.Role == view.RoleControl && len(d.control) > 0 && !slices.Contains(d.control, source.Address) {
+			sources[i].Role = view.RoleRouter
+		}
+	}
+	return sources
+}
+
 // step runs one step of the follower and carries out what it decides.
 func (d *Driver) step(ctx context.Context, f func(now time.Time) []view.Action) {
 	d.mu.Lock()
@@ -186,16 +198,20 @@
 		return
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	if slices.Equal(addresses, d.control) {
+		d.mu.Unlock()
 		return
 	}
 	d.control = addresses
+	d.mu.Unlock()
+	d.addAgents(d.opts.Log.Snapshot())
+	d.mu.Lock()
 	for _, address := range addresses {
 		if address != d.opts.Self {
 			d.follower.Learn(view.Source{Address: address, Role: view.RoleControl})
 		}
 	}
+	d.mu.Unlock()
 	event.ReplicasChanged(strings.Join(addresses, ","))
 	if d.opts.ControlChanged != nil {
 		d.opts.ControlChanged(addresses)
--- /dev/null
+++ b/internal/node/bootstrap_test.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"parsleypulley/internal/control"
+	"parsleypulley/internal/daemon"
+	"parsleypulley/internal/link"
+	"parsleypulley/internal/membership"
+	"parsleypulley/internal/view"
+	"parsleypulley/internal/wire"
+)
+
+// One replica at most begins, whatever the configured addresses stand for and
+// answer.
+func TestOneReplicaBegins(t *testing.T) {
+	replica := &wire.Pong{}
+	member := &wire.Pong{InCluster: true}
+	relay := &wire.Pong{Relay: true}
+	chose := func(address string) *wire.Pong { return &wire.Pong{Relay: true, FirstReplica: address} }
+	tests := []struct {
+		name  string
+		self  string
+		seeds []seed
+		want  bool
+	}{
+		{"no addresses", "a", nil, true},
+		{"the first", "a", []seed{{"b", nil}, {"a", nil}, {"c", nil}}, true},
+		{"not the first", "b", []seed{{"b", nil}, {"a", replica}, {"c", nil}}, false},
+		{"the first is unknown", "b", []seed{{"b", nil}, {"a", nil}, {"c", replica}}, false},
+		{"the first is a relay", "b", []seed{{"b", nil}, {"a", relay}, {"c", nil}}, true},
+		{"the second after a relay", "c", []seed{{"b", nil}, {"a", relay}, {"c", nil}}, false},
+		{"the third after two relays", "c", []seed{{"b", relay}, {"a", relay}, {"c", nil}}, true},
+		{"not configured", "d", []seed{{"b", replica}, {"a", replica}, {"c", replica}}, false},
+		{"not configured, one replica", "d", []seed{{"b", relay}, {"a", relay}, {"c", replica}}, false},
+		{"all relays, none chosen", "d", []seed{{"b", relay}, {"a", relay}, {"c", relay}}, false},
+		{"all relays, chosen", "d", []seed{{"b", relay}, {"a", chose("d")}, {"c", relay}}, true},
+		{"all relays, another chosen", "e", []seed{{"b", relay}, {"a", chose("d")}, {"c", relay}}, false},
+		{"chosen by another relay", "d", []seed{{"b", chose("d")}, {"a", relay}, {"c", relay}}, false},
+		{"chosen, one relay unknown", "d", []seed{{"b", nil}, {"a", chose("d")}, {"c", relay}}, false},
+		{"an installation is there", "a", []seed{{"a", nil}, {"b", member}}, false},
+		{"a relay knows an installation", "d", []seed{{"a", chose("d")}, {"b", &wire.Pong{Relay: true, InCluster: true}}}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) { is.New(t).Equal(mayBegin(test.self, test.seeds), test.want) })
+	}
+}
+
+// freeAddresses returns addresses that nothing listens on.
+func freeAddresses(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		out = append(out, ln.Addr().String())
+	}
+	slices.Sort(out)
+	return out
+}
+
+// controlEnv holds the settings of a control process that this test binary is to
+// run as: link address, data folder, address for calls, configured addresses.
+const controlEnv = "PARSLEYPULLEY_TEST_CONTROL"
+
+func TestMain(m *testing.M) {
+	if settings := os.Getenv(controlEnv); settings != "" {
+		if err := runControlProcess(strings.Split(settings, " ")); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func runControlProcess(settings []string) error {
+	return RunControl(ControlOptions{
+		Settings: &daemon.Settings{Name: settings[0], Domain: "d", Link: settings[0], Control: settings[3:], LogLevel: "info", Trace: "off", StopDeadline: time.Second},
+		Data:     settings[1], Listen: settings[2], Bootstrap: true,
+		Control: control.Options{Leases: membership.DefaultLeaseConfig()},
+		Handler: func(o Outside, _ *view.Store) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				ctx, cancel := context.WithTimeout(r.Context(), time.Second)
+				defer cancel()
+				err := o.PutWeights(ctx, &wire.WeightsTarget{Model: "m", Version: 2})
+				if err == nil {
+					_, err = o.ReadRoutes(ctx)
+				}
+				if err != nil {
+					http.Error(w, err.Error(), http.StatusServiceUnavailable)
+				}
+			})
+		},
+	})
+}
+
+// startControl runs a control process until the test ends and returns where it
+// takes calls. data is empty for a relay.
+func startControl(t *testing.T, link, data string, seeds []string) string {
+	t.Helper()
+	address := freeAddresses(t, 1)[0]
+	process := exec.Command(os.Args[0])
+	process.Env = append(os.Environ(), controlEnv+"="+strings.Join(append([]string{link, data, address}, seeds...), " "))
+	log := &bytes.Buffer{}
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = process.Process.Kill()
+		_ = process.Wait()
+		if t.Failed() {
+			t.Logf("log of %s:\n%s", link, log)
+		}
+	})
+	return address
+}
+
+// An installation begins once and takes calls at every control process, whichever
+// of the configured addresses are relays.
+func TestInstallationBeginsThroughRelays(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		relays []int // by the order of their addresses
+	}{
+		{"replicas", nil}, {"the first is a relay", []int{0}}, {"only the last is a replica", []int{0, 1}}, {"all are relays", []int{0, 1, 2}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			links := freeAddresses(t, 6)
+			var calls []string
+			for i, address := range links {
+				data := filepath.Join(t.TempDir(), "data")
+				if slices.Contains(test.relays, i) {
+					data = ""
+				}
+				calls = append(calls, startControl(t, address, data, links[:3]))
+			}
+			end := time.Now().Add(20 * time.Second)
+			for _, address := range calls {
+				for {
+					resp, err := http.Get("http://" + address)
+					if err == nil {
+						err = resp.Body.Close()
+						is.NoErr(err)
+						if resp.StatusCode == http.StatusOK {
+							break
+						}
+					}
+					is.True(time.Now().Before(end)) // calls are taken
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+			pool := link.NewPool(nil)
+			defer pool.Close()
+			var replicas []string
+			for i, address := range links {
+				if !slices.Contains(test.relays, i) {
+					replicas = append(replicas, address)
+				}
+			}
+			for _, address := range links {
+				var known []string
+				for !slices.Equal(known, replicas) { // one cluster, which all know
+					is.True(time.Now().Before(end))
+					resp, err := pool.Call(t.Context(), address, &wire.Request{Body: &wire.Request_FetchView{FetchView: &wire.FetchView{}}})
+					if err == nil {
+						known = slices.Sorted(slices.Values(resp.GetViewUpdate().GetControl()))
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -58,7 +58,7 @@
 	var forwarder *forward.Forwarder
 	driver := follow.New(follow.Options{
 		Role: view.RoleRouter, Seed: SeedOf(o.Settings.Name), Log: views, Pool: p.Pool,
-		Sources: controlSources(o.Settings.Control), Self: o.Settings.Address(),
+		Sources: controlSources(o.Settings.Control, ""), Self: o.Settings.Address(),
 		Loads: func(digest *wire.LoadDigest) { forwarder.Loads(digest) },
 	})
 	forwarder = forward.New(forward.Options{
@@ -68,7 +68,7 @@
 	daemon.PublishView(views, driver)
 	go driver.Run(p.Context)
 	if o.WatchControl != nil {
-		go o.WatchControl(p.Context, func(addresses []string) { driver.SetConfigured(controlSources(addresses)) })
+		go o.WatchControl(p.Context, func(addresses []string) { driver.SetConfigured(controlSources(addresses, "")) })
 	}
 	go forwarder.Run(p.Context)
 	watches := follow.NewServer(views, driver.Freshness, view.MaxWatchesOther)
@@ -141,9 +141,13 @@
 	})
 }
 
-func controlSources(addresses []string) []view.Source {
+// controlSources returns the control addresses but self as sources of the view.
+func controlSources(addresses []string, self string) []view.Source {
 	var out []view.Source
 	for _, address := range addresses {
+		if address == self {
+			continue
+		}
 		out = append(out, view.Source{Address: address, Role: view.RoleControl})
 	}
 	return out
