--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -113,6 +113,10 @@
 	mux.HandleFunc("/readyz", p.serveReady)
 	mux.Handle("/debug/vars", expvar.Handler())
 	ln, err := net.Listen("tcp", p.Settings.Admin)
+	if err != nil && p.Settings.AdminOptional {
+		event.PartEnded("administrative listener", err)
+		return nil
+	}
 	if err != nil {
 		return fmt.Errorf("listen for administration: %w", err)
 	}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -20,11 +20,14 @@
 
 // Settings are the settings that all roles share.
 type Settings struct {
-	Name         string        `help:"Name of this process, unique in the installation." required:"" env:"PARSLEYPULLEY_NAME"`
-	Domain       string        `help:"Failure domain of this VM." required:"" env:"PARSLEYPULLEY_DOMAIN"`
-	Link         string        `help:"Address for links from other processes, ip:port." required:"" env:"PARSLEYPULLEY_LINK"`
-	Advertise    string        `help:"Address at which other processes reach --link; default is --link itself." env:"PARSLEYPULLEY_ADVERTISE"`
-	Admin        string        `help:"Address for health, readiness and metrics, ip:port; empty is none." env:"PARSLEYPULLEY_ADMIN"`
+	Name      string `help:"Name of this process, unique in the installation." required:"" env:"PARSLEYPULLEY_NAME"`
+	Domain    string `help:"Failure domain of this VM." required:"" env:"PARSLEYPULLEY_DOMAIN"`
+	Link      string `help:"Address for links from other processes, ip:port." required:"" env:"PARSLEYPULLEY_LINK"`
+	Advertise string `help:"Address at which other processes reach --link; default is --link itself." env:"PARSLEYPULLEY_ADVERTISE"`
+	Admin     string `help:"Address for health, readiness and metrics, ip:port; empty is none." env:"PARSLEYPULLEY_ADMIN"`
+	// AdminOptional keeps a process going whose --admin is taken already.
+	AdminOptional bool `kong:"-"`
+
 	Control      []string      `help:"Link addresses of the control replicas, ip:port,..." required:"" env:"PARSLEYPULLEY_CONTROL"`
 	TLSCA        string        `name:"tls-ca" help:"PEM file of the certificate authority; links use TLS when set." env:"PARSLEYPULLEY_TLS_CA"`
 	TLSCert      string        `name:"tls-cert" help:"PEM file of this process's certificate." env:"PARSLEYPULLEY_TLS_CERT"`
--- /dev/null
+++ b/internal/e2e/soakplan_test.go
@@ -0,0 +1,171 @@
+package e2e
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// soakFault is one fault of a soak: what happens to a process, when and for how long.
+type soakFault struct {
+	at, length time.Duration
+	kind       faultKind
+	// target is the process, and other a second one or empty.
+	target, other string
+	// n is a count or a strength, by kind.
+	n int
+}
+
+func (f soakFault) String() string {
+	return fmt.Sprintf("%v +%v %s %s %s %d", f.at, f.length, f.kind, f.target, f.other, f.n)
+}
+
+type faultKind string
+
+const (
+	// faultKill kills a process, which starts again n times; faultStop asks it to
+	// stop first.
+	faultKill faultKind = "kill"
+	faultStop faultKind = "stop"
+	// faultPause stops a process with its clocks; what it believes grows old.
+	faultPause faultKind = "pause"
+	// faultHerd kills all processes whose names begin with target.
+	faultHerd faultKind = "herd"
+	// faultCut holds all bytes of a process, faultOneWay those that it sends to
+	// other, or to all; faultDelay delays them by n ms.
+	faultCut    faultKind = "cut"
+	faultOneWay faultKind = "one-way"
+	faultDelay  faultKind = "delay"
+	// faultReset resets the connections of a process n times.
+	faultReset faultKind = "reset"
+	// faultTorn kills a control replica and leaves a torn write in its log;
+	// faultWipe kills it and removes its data folder.
+	faultTorn faultKind = "torn"
+	faultWipe faultKind = "wipe"
+	// faultEngine has a backend server crash, freeze, cut streams, mix up answers,
+	// slow down or refuse, by n.
+	faultEngine faultKind = "engine"
+	// faultChange has an operator change the configuration n times in a row.
+	faultChange faultKind = "change"
+	// faultDrain drains a backend server and undrains it.
+	faultDrain faultKind = "drain"
+)
+
+// faultWeights gives how often the kinds come.
+var faultWeights = []struct {
+	kind   faultKind
+	weight int
+}{
+	{faultKill, 5}, {faultStop, 3}, {faultPause, 4}, {faultHerd, 2}, {faultCut, 3}, {faultOneWay, 3}, {faultDelay, 2}, {faultReset, 3},
+	{faultTorn, 2}, {faultWipe, 1}, {faultEngine, 4}, {faultChange, 4}, {faultDrain, 2},
+}
+
+const (
+	// minFault and maxFault bound the length of a fault.
+	minFault = 200 * time.Millisecond
+	maxFault = 4 * time.Second
+	// faultEvery is the mean time between two faults, so that several overlap.
+	faultEvery = 700 * time.Millisecond
+)
+
+// soakPlan draws the faults of a soak of the given length from a seed. At most one
+// data folder is lost, as the installation of three replicas bears one loss.
+func soakPlan(seed uint64, length time.Duration) []soakFault {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var plan []soakFault
+	wiped := false
+	for at := time.Duration(0); ; {
+		at += time.Duration(r.ExpFloat64() * float64(faultEvery))
+		if at >= length {
+			break
+		}
+		f := soakFault{at: at.Round(time.Millisecond), kind: drawKind(r), n: 1 + r.IntN(6)}
+		f.length = (minFault + time.Duration(r.Int64N(int64(maxFault-minFault)))).Round(time.Millisecond)
+		f.target = drawProcess(r, f.kind)
+		if other := drawProcess(r, faultPause); f.kind == faultOneWay && other != f.target && r.IntN(2) == 0 {
+			f.other = other
+		}
+		if f.kind == faultWipe {
+			if wiped {
+				continue
+			}
+			wiped = true
+		}
+		plan = append(plan, f)
+	}
+	slices.SortStableFunc(plan, func(a, b soakFault) int { return cmp.Compare(a.at, b.at) })
+	return plan
+}
+
+func drawKind(r *rand.Rand) faultKind {
+	total := 0
+	for _, w := range faultWeights {
+		total += w.weight
+	}
+	draw := r.IntN(total)
+	for _, w := range faultWeights {
+		if draw < w.weight {
+			return w.kind
+		}
+		draw -= w.weight
+	}
+	panic("unreachable")
+}
+
+func drawProcess(r *rand.Rand, kind faultKind) string {
+	control := fmt.Sprint("control-", r.IntN(controls))
+	router := fmt.Sprint("router-", r.IntN(routers))
+	backend := fmt.Sprint("runner-", r.IntN(engines))
+	if r.IntN(engines+services) < services {
+		backend = fmt.Sprint("farmdesk-", r.IntN(services))
+	}
+	switch kind {
+	case faultTorn, faultWipe:
+		return control
+	case faultEngine, faultDrain:
+		return backend
+	case faultChange:
+		return ""
+	case faultHerd:
+		return []string{"control-", "router-", "runner-"}[r.IntN(3)]
+	}
+	return []string{control, router, backend}[r.IntN(3)]
+}
+
+// The same seed gives the same plan, and every kind of fault comes, alone and
+// beside others.
+func TestSoakPlansRepeat(t *testing.T) {
+	is := is.New(t)
+	seen, pairs := map[faultKind]int{}, map[[2]faultKind]bool{}
+	const seeds = 200
+	for seed := range uint64(seeds) {
+		plan := soakPlan(seed, 10*time.Second)
+		is.Equal(fmt.Sprint(plan), fmt.Sprint(soakPlan(seed, 10*time.Second)))
+		wipes := 0
+		for i, f := range plan {
+			seen[f.kind]++
+			if f.kind == faultWipe {
+				wipes++
+			}
+			for _, g := range plan[i+1:] {
+				if g.at < f.at+f.length {
+					pairs[[2]faultKind{f.kind, g.kind}] = true
+				}
+			}
+		}
+		is.True(wipes <= 1)
+	}
+	is.Equal(len(seen), len(faultWeights))
+	for _, a := range faultWeights {
+		for _, b := range faultWeights {
+			if a.kind != faultWipe || b.kind != faultWipe {
+				is.True(pairs[[2]faultKind{a.kind, b.kind}] || pairs[[2]faultKind{b.kind, a.kind}])
+			}
+		}
+	}
+}
