Openings are imported from engines that are reported to hold them, by version

Reports on engines did not tell versions apart, so that what older weights had made passed for held.

Change: keys of cache events carry the version; the source of an import is an engine that is reported to hold more of the prompt on the same weights, one in the failure domain first; an opening has one store, by the rendezvous order of its first part. call served has the opening's key.

--- a/internal/event/call.go
+++ b/internal/event/call.go
@@ -38,6 +38,9 @@
 
 // Prompt is the decision on a call with a prompt.
 type Prompt struct {
+	// Key names the shared opening, the same at all routers and for all versions of
+	// the weights.
+	Key uint64
 	// Tokens, Opening and Cached are the lengths of the prompt, of its shared
 	// opening and of what the engine was expected to hold.
 	Tokens, Opening, Cached uint32
@@ -61,6 +64,7 @@
 		fields["first_ms"] = milliseconds(c.First)
 	}
 	if p := c.Prompt; p != nil {
+		fields["key"] = hexID(p.Key)
 		fields["prompt"], fields["opening"], fields["cached"] = p.Tokens, p.Opening, p.Cached
 		fields["wait_ms"], fields["prefill_ms"], fields["weights"] = milliseconds(p.Wait), milliseconds(p.Prefill), p.Weights
 		fields["import"], fields["save"] = p.Import, p.Save
--- a/internal/fleet/cache.go
+++ b/internal/fleet/cache.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -27,7 +28,7 @@
 // CacheEvent tells that a part of a prompt was stored or given up.
 type CacheEvent struct {
 	Stored bool
-	// Key is that of PartKey.
+	// Key is that of PartKey for the account's salt, and of prefix.Versioned.
 	Key    uint64
 	Tokens uint32
 }
@@ -46,3 +47,17 @@
 func VersionedSalt(salt string, weights uint64) string {
 	return salt + "/" + strconv.FormatUint(weights, 10)
 }
+
+// SplitSalt returns the account's salt and the version of a cache salt; the version
+// is 0 when there is none.
+func SplitSalt(versioned string) (salt string, weights uint64) {
+	at := strings.LastIndexByte(versioned, '/')
+	if at < 0 {
+		return versioned, 0
+	}
+	weights, err := strconv.ParseUint(versioned[at+1:], 10, 64)
+	if err != nil {
+		return versioned, 0 // another program's salt
+	}
+	return versioned[:at], weights
+}
--- a/internal/forward/answer.go
+++ b/internal/forward/answer.go
@@ -72,7 +72,7 @@
 		call.Request = x.call.ID
 	}
 	if d := x.choice; d != nil && len(x.levels) > 0 {
-		call.Prompt = &event.Prompt{Tokens: d.PromptTokens, Opening: sharedTokens(x.levels), Cached: d.CachedTokens,
+		call.Prompt = &event.Prompt{Key: x.levels[max(0, len(x.levels)-2)].GetKey(), Tokens: d.PromptTokens, Opening: sharedTokens(x.levels), Cached: d.CachedTokens,
 			Wait: d.Wait, Prefill: d.Prefill, Weights: d.Weights, Import: x.from, Save: x.to}
 	}
 	return call
--- a/internal/forward/plan.go
+++ b/internal/forward/plan.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -9,6 +8,7 @@
 
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/fleet"
+	"parsleypulley/internal/prefix"
 	"parsleypulley/internal/routing"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
@@ -123,21 +123,28 @@
 
 // cacheMoves returns the address from which the engine may import cached state,
 // and the store to which it is to save what it reads. Engines import only what
-// they lack, so that the prediction of what one holds decides nothing here.
+// they lack, so that the prediction of what one holds decides nothing here. An
+// engine that is reported to hold the whole opening goes before the store, whose
+// link all engines share.
 func (x *forwarding) cacheMoves(d *routing.Decision) (from, to string) {
 	opening := sharedTokens(x.levels)
 	if !x.route.GetPrompts() || d.Weights == 0 || opening < minMove {
 		return "", ""
 	}
-	store := x.f.stores.nearest(x.snapshot, d.Backend.GetFailureDomain())
-	if store == "" {
+	if d.SourceTokens == opening {
 		return d.KVSource, ""
 	}
-	context := x.call.Parts[len(x.call.Parts)-2].ID
-	if x.f.stores.holds(store, fleet.PartKey(fleet.VersionedSalt(x.salt, d.Weights), context)) {
+	store := x.f.stores.home(x.snapshot, x.levels[0].GetKey())
+	context := x.levels[len(x.levels)-2].GetKey()
+	switch {
+	case store == "":
+		return d.KVSource, ""
+	case x.f.stores.holds(store, prefix.Versioned(context, d.Weights)):
 		return store, ""
+	case d.SourceTokens > 0:
+		return d.KVSource, store
 	}
-	return cmp.Or(d.KVSource, store), store
+	return store, store
 }
 
 // sharedTokens returns the length of the parts of a prompt that other calls
--- a/internal/forward/stores.go
+++ b/internal/forward/stores.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/prefix"
 	"parsleypulley/internal/view"
@@ -94,7 +97,8 @@
 	}
 }
 
-// holds reports whether a store is known to hold a part.
+// holds reports whether a store is known to hold a part, by the key of
+// prefix.Versioned.
 func (s *stores) holds(address string, key uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,22 +116,20 @@
 	event.StoreChanged(address, up, err)
 }
 
-// nearest returns the address of a store that is up, one in the failure domain
-// first; empty for none.
-func (s *stores) nearest(v *view.Snapshot, domain string) string {
+// home returns the address of the store that keeps what begins with a part: the
+// first of those up in the rendezvous order of the part's key, so that all routers
+// look for it in one place; empty for none.
+func (s *stores) home(v *view.Snapshot, key uint64) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	found := ""
+	found, highest := "", uint64(0)
 	for _, store := range v.Routes.Stores() {
-		w := s.watched[store.GetAddress()]
-		if w == nil || !w.up {
+		address := store.GetAddress()
+		if w := s.watched[address]; w == nil || !w.up {
 			continue
 		}
-		if store.GetFailureDomain() == domain {
-			return store.GetAddress()
-		}
-		if found == "" {
-			found = store.GetAddress()
+		if rank := xxhash.Sum64String(strconv.FormatUint(key, 16) + address); found == "" || rank > highest {
+			found, highest = address, rank
 		}
 	}
 	return found
--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -40,7 +40,7 @@
 }
 
 func newCandidate(now time.Time, s *server, rank int) candidate {
-	c := candidate{server: s, rank: rank, age: s.reportAge(now)}
+	c := candidate{server: s, rank: rank, age: s.reportAge(now), heldAge: s.heldAge(now)}
 	if !s.emptyAt.IsZero() {
 		c.empty = now.Sub(s.emptyAt) < emptyTrust
 	}
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -30,6 +30,9 @@
 	outdatedCost = 0.15
 	// maxDemotion bounds how far demotion lowers the weight of the wait.
 	maxDemotion = 4
+	// maxSources bounds the engines that a choice looks at for a source of cached
+	// state: those of a region.
+	maxSources = 256
 	// maxLevels bounds the levels that a choice looks at.
 	maxLevels = 16
 )
@@ -38,10 +41,10 @@
 type candidate struct {
 	server *server
 	rank   int
-	// age is that of the last load report, and empty tells that the engine's
-	// life is new.
-	age   time.Duration
-	empty bool
+	// age is that of the last load report, heldAge that of what it tells of cached
+	// state, and empty tells that the engine's life is new.
+	age, heldAge time.Duration
+	empty        bool
 	// chance is the probability that the context is cached, and basis its
 	// ground.
 	chance float64
@@ -92,8 +95,8 @@
 		best = r.spill(now, req, p, &pr, best)
 	}
 	d := r.decide(req, p, &pr, best)
-	if d.Backend.Address != "" && d.KVSource == "" && r.settings.ImportRate > 0 {
-		d.KVSource = importFrom(found, best)
+	if d.Backend.Address != "" && r.settings.ImportRate > 0 {
+		d.KVSource, d.SourceTokens = r.importFrom(now, p, &pr, best.server)
 	}
 	return d, nil
 }
@@ -184,9 +187,9 @@
 // prompt is its own: without a sign of it nothing is expected.
 func (r *Router) basis(c *candidate, key uint64, question bool) chanceBasis {
 	s := c.server
-	reported := s.heldKnown && c.age < staleReport
+	reported := s.heldKnown && c.heldAge < staleReport
 	for _, h := range r.holdings {
-		if h.Life == s.life && (!reported || h.Age <= c.age || question) {
+		if h.Life == s.life && (!reported || h.Age <= c.heldAge || question) {
 			return seenAt(h.Age)
 		}
 	}
@@ -194,7 +197,7 @@
 	case question:
 		return noBasis
 	case reported:
-		return reportedAt(c.age, s.held.Has(key), c.rank)
+		return reportedAt(c.heldAge, s.holds(key), c.rank)
 	case c.empty:
 		return noBasis
 	default:
@@ -238,25 +241,31 @@
 	return source
 }
 
-// importFrom returns the address of an engine without an agent that probably
-// holds more of the prompt than best, on the same weights; empty for none. An
-// import from such an engine costs little where it finds nothing.
-func importFrom(found []candidate, best *candidate) string {
-	const worthwhile = 256 // tokens
-	var source *candidate
-	for i := range found {
-		c := &found[i]
-		if c == best || c.server.weights != best.server.weights || c.cached < best.cached+worthwhile {
+// importFrom returns the address of an engine without an agent that is reported to
+// hold more of the prompt than best, on the same weights, and how many tokens it
+// holds; one in the failure domain goes before others that hold as much. An empty
+// address stands for none.
+func (r *Router) importFrom(now time.Time, p *pool, pr *prompt, best *server) (address string, tokens uint32) {
+	if len(pr.levels) < 2 {
+		return "", 0
+	}
+	var source *server
+	known := best.reported(now, pr)
+	start := r.random.IntN(max(1, len(p.ready.servers)))
+	for i := range min(maxSources, len(p.ready.servers)) {
+		s := p.ready.servers[(start+i)%len(p.ready.servers)]
+		if s == best || s.weights != best.weights || s.backend.Address == "" {
 			continue
 		}
-		if source == nil || c.cached > source.cached {
-			source = c
+		held := s.reported(now, pr)
+		if held > known || source != nil && held == known && s.near && !source.near {
+			source, known = s, held
 		}
 	}
 	if source == nil {
-		return ""
+		return "", 0
 	}
-	return source.server.backend.Address
+	return source.backend.Address, known
 }
 
 // price predicts the wait and the work until the first token at a candidate.
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -161,6 +161,9 @@
 	// prefix that is cheaper to import than to recompute, or the address of such
 	// an engine without an agent; empty for none.
 	KVSource string
+	// SourceTokens is how much of the prompt an engine without an agent at KVSource is
+	// reported to hold.
+	SourceTokens uint32
 	// Weights is the version that the backend server holds; 0 is not known.
 	Weights uint64
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -389,3 +389,48 @@
 func BenchmarkChoose18(b *testing.B)   { benchmarkChoose(b, 18) }
 func BenchmarkChoose400(b *testing.B)  { benchmarkChoose(b, 400) }
 func BenchmarkChoose4000(b *testing.B) { benchmarkChoose(b, 4000) }
+
+// The opening of a prompt is read again on a second engine although others hold it
+// (pattern: shared opening read again on two engines): an import comes only from an
+// engine that is reported to hold the opening on the same weights, a near one first.
+func TestImportsComeFromReportedHolders(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_700_000_000, 0)
+	r := New("a", 1)
+	r.SetSettings(Settings{ImportRate: 100_000})
+	engine := func(name, domain, weights string) *wire.Member {
+		return &wire.Member{State: wire.BackendState_BACKEND_STATE_READY, Backend: &wire.Backend{Name: name, Address: name + ":1",
+			FailureDomain: domain, AgentIncarnation: 1, EngineIncarnation: 1, Service: "llm", MaxRunning: 48,
+			Models: []*wire.LoadedModel{{Model: "m", WeightsVersion: weights}}}}
+	}
+	r.SetBackends(now, []*wire.Member{engine("far", "b", "2"), engine("near", "a", "2"), engine("old", "a", "1"), engine("part", "a", "2")})
+	const instruction, context, question = 1 << 60, 2 << 60, 3 << 60
+	hold := func(name string, weights uint64, keys ...uint64) {
+		for i := range keys {
+			keys[i] = prefix.Versioned(keys[i], weights)
+		}
+		r.Load(now, name, &wire.Load{EngineIncarnation: 1, Held: prefix.NewFilter(keys).Marshal()})
+	}
+	hold("far", 2, instruction, context)
+	hold("near", 2, instruction, context)
+	hold("old", 1, instruction, context) // what older weights have made is of no use
+	hold("part", 2, instruction)
+	now = now.Add(10 * time.Millisecond)
+	p := r.pools[poolKey{service: "llm"}]
+	if p == nil {
+		for key, other := range r.pools {
+			t.Log(key)
+			p = other
+		}
+	}
+	pr := prompt{levels: []*wire.PrefixLevel{{Key: instruction, Tokens: 2600}, {Key: context, Tokens: 4400}, {Key: question, Tokens: 5000}}}
+	for range 20 {
+		address, tokens := r.importFrom(now, p, &pr, r.servers["part"])
+		is.Equal(address, "near:1")
+		is.Equal(tokens, uint32(4400))
+		address, _ = r.importFrom(now, p, &pr, r.servers["near"])
+		is.Equal(address, "") // nobody holds more
+	}
+	address, _ := r.importFrom(now.Add(staleReport), p, &pr, r.servers["part"])
+	is.Equal(address, "") // reports this old tell nothing
+}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -16,6 +16,9 @@
 	defaultMaxRunning = 64
 	// staleReport is the age at which a load report counts no more.
 	staleReport = 5 * time.Second
+	// eventLag is how far reports on engines without an agent lie behind what the
+	// engines hold: their events are late, and are gathered for a second.
+	eventLag = time.Second
 	// sentMemory is the number of requests sent that are kept to correct load
 	// reports.
 	sentMemory = 32
@@ -67,6 +70,7 @@
 	// held is what the last report says the engine holds, if it does.
 	held      prefix.Filter
 	heldKnown bool
+	heldAt    time.Time
 }
 
 // loadReport is what counts of a wire.Load.
@@ -236,7 +240,44 @@
 	if len(load.Held) > 0 || s.backend.Address == "" {
 		// Reports on engines without an agent don't all tell what they hold.
 		s.heldKnown = s.held.Unmarshal(load.Held)
+		s.heldAt = at
 	}
 	s.busy = float64(load.BusyPermille) / 1000
 	return true
 }
+
+// holds reports whether the last report says that the engine holds a level. Engines
+// without an agent report levels by the version of their weights.
+func (s *server) holds(key uint64) bool {
+	if s.backend.Address != "" {
+		key = prefix.Versioned(key, s.weights)
+	}
+	return s.held.Has(key)
+}
+
+// reported returns how many tokens of the shared levels of a prompt the engine is
+// reported to hold; 0 without a fresh report.
+func (s *server) reported(now time.Time, pr *prompt) uint32 {
+	if !s.heldKnown || s.heldAge(now) >= staleReport {
+		return 0
+	}
+	tokens := uint32(0)
+	for _, level := range pr.levels[:len(pr.levels)-1] {
+		if !s.holds(level.Key) {
+			break
+		}
+		tokens = level.Tokens
+	}
+	return tokens
+}
+
+// heldAge returns how old what is reported of the cached state is.
+func (s *server) heldAge(now time.Time) time.Duration {
+	if s.backend.Address == "" {
+		return s.reportAge(now)
+	}
+	if s.heldAt.IsZero() {
+		return staleReport
+	}
+	return now.Sub(s.heldAt) + eventLag
+}
