A keyed call refused before its record was read promises nothing

By reading, one path gives that answer: a send runs and its answer is lost with its router, and the resend meets a router that has no view yet, stops or is full, which refuses before it reads the record.

Ruled out: the record's own refusals, which are made after it was read (TestCallsWithOneKeyRunAtMostOnce).

--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -184,6 +184,19 @@
 	return e
 }
 
+// Unproved returns err as the refusal of a call with an idempotency key whose record
+// was not read. This send did not run, but an earlier one with the key may have:
+// where the caller is to come back, nothing is promised.
+func Unproved(err error) error {
+	e := From(err)
+	if e == nil || e.Outcome != NotRun || e.ComeBack() == 0 {
+		return err
+	}
+	out := *e
+	out.Outcome = Unknown
+	return &out
+}
+
 // From returns err as an Error; other errors become Internal with an unknown
 // outcome. A nil error gives nil.
 func From(err error) *Error {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -163,7 +163,7 @@
 		}
 		if err != nil {
 			r.close(false)
-			return &failure{Broken, err}, Step{}
+			return &failure{Broken, endOf(x.ctx, err)}, Step{}
 		}
 		if !answering {
 			answering = true
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -104,7 +104,8 @@
 		return nil, err
 	}
 	if wait := d.Wait + d.Prefill; patience > 0 && wait > patience {
-		return nil, fault.New(fault.Overloaded, fault.NotRun, "the first token would take %v", wait.Round(time.Millisecond)).
+		return nil, fault.New(fault.Overloaded, fault.NotRun, "the first token would take %v: %v until there is room at %s, %v to read the prompt",
+			wait.Round(time.Millisecond), d.Wait.Round(time.Millisecond), d.Backend.GetName(), d.Prefill.Round(time.Millisecond)).
 			WithRetryAfter(wait - patience)
 	}
 	c.router.Started(now, d)
--- a/internal/forward/sender.go
+++ b/internal/forward/sender.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -58,6 +59,7 @@
 	if err != nil {
 		stop()
 		c.Close()
+		err = endOf(ctx, err)
 		switch {
 		case !sent:
 			return nil, &failure{Unsent, err}
@@ -70,6 +72,14 @@
 		body: resp.Body, up: f.upstream, conn: c, resp: resp, written: written, stop: stop}, nil
 }
 
+// endOf adds to the error of a connection that ctx has closed why it did.
+func endOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return fmt.Errorf("%w: %w", cause, err)
+	}
+	return err
+}
+
 func isTimeout(err error) bool {
 	var t interface{ Timeout() bool }
 	return errors.As(err, &t) && t.Timeout()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -129,6 +129,9 @@
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(w.Header()))
 	w.Header().Set(HeaderRequestID, req.CallerID)
 	if err := g.admit(r, req); err != nil {
+		if r.Header.Get(HeaderKey) != "" {
+			err = fault.Unproved(err)
+		}
 		g.fail(w, g.responder(w, req.CallerID), err)
 		return
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -192,13 +192,19 @@
 }
 
 func (r *Router) serve(ctx context.Context, req *gateway.Request, w gateway.Responder) error {
+	refused := func(err error) error {
+		if req.Repeat == gateway.AtMostOnce {
+			return fault.Unproved(err)
+		}
+		return err
+	}
 	p, err := r.plan(req)
 	if err != nil {
-		return err
+		return refused(err)
 	}
 	t, err := r.admit.admit(ctx, p.admission)
 	if err != nil {
-		return err
+		return refused(err)
 	}
 	defer t.finish()
 	p.priority -= t.demotion
