The leader asks thousands of engines in turns and follows the events of a bounded number

Change: at most 384 engines are asked in an interval, in turns; the events of at most 256 engines and stores are followed. Test: TestThousandsOfEnginesTakeTurns.

--- a/internal/control/holdings.go
+++ b/internal/control/holdings.go
@@ -27,6 +27,10 @@
 	// those stored last.
 	engineHeld = 64
 	storeHeld  = 768
+	// maxSources bounds the engines and stores whose events are followed: each takes a
+	// connection and some 20 kB of the leader's memory. What the others hold is not
+	// known but by the rank of a prompt.
+	maxSources = 256
 	// holdingsInterval is the time between two digests with holdings.
 	holdingsInterval = time.Second
 )
@@ -142,17 +146,21 @@
 	return prefix.NewFilterOf(h.newest(most), most).Marshal()
 }
 
-// sourcesOf returns the engines without an agent and the stores of a view.
+// sourcesOf returns the stores of a view and its engines without an agent, at most
+// maxSources in all.
 func sourcesOf(members []*wire.Member, stores []*wire.CacheStore) []fleet.CacheSource {
 	var sources []fleet.CacheSource
+	for _, store := range stores {
+		sources = append(sources, storeSource(store))
+	}
 	for _, m := range members {
+		if len(sources) >= maxSources {
+			break
+		}
 		if b := m.GetBackend(); b.GetAddress() != "" && len(b.GetModels()) > 0 && m.GetState() != wire.BackendState_BACKEND_STATE_SUSPECTED {
 			sources = append(sources, engineSource(b))
 		}
 	}
-	for _, store := range stores {
-		sources = append(sources, storeSource(store))
-	}
 	return sources
 }
 
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -15,6 +15,10 @@
 const (
 	// loadInterval is the time between two load reports of an engine.
 	loadInterval = 500 * time.Millisecond
+	// maxReports bounds the engines that are asked in one interval: a few hundred
+	// connections, and a fifth of a small VM's processor. More engines take turns,
+	// 3,000 of them within the time after which a report counts no more.
+	maxReports = 384
 	// loadTimeout bounds the wait for one report.
 	loadTimeout = 450 * time.Millisecond
 	// silentReports is the number of reports in a row that fail before an engine
@@ -74,6 +78,7 @@
 	number := uint64(0)
 	board := newHoldingsBoard(l.options.Engines)
 	var told time.Time
+	next := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -87,13 +92,15 @@
 			continue
 		}
 		number++
-		replies := l.askEngines(ctx)
+		var asked []*wire.Backend
+		asked, next = turn(l.machine.Log().Snapshot().Members(), next)
+		replies := l.askEngines(ctx, asked)
 		l.takeReplies(ctx, term, replies, failures)
 		snapshot := l.machine.Log().Snapshot()
 		stores := snapshot.Routes.Stores()
 		board.follow(ctx, sourcesOf(snapshot.Members(), stores))
 		digest := &wire.LoadDigest{Term: term, Number: number, Loads: loadsOf(replies)}
-		if time.Since(told) >= holdingsInterval {
+		if next > 0 || time.Since(told) >= holdingsInterval {
 			told = time.Now()
 			addHoldings(digest, board, replies, stores)
 		}
@@ -131,16 +138,33 @@
 	return &wire.Load{Running: r.report.Answering, Waiting: r.report.Waiting, EngineIncarnation: r.backend.GetEngineIncarnation()}
 }
 
-// askEngines asks all engines without an agent at the same time.
-func (l *leader) askEngines(ctx context.Context) []engineReply {
-	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
-	defer cancel()
-	var replies []engineReply
-	for _, m := range l.machine.Log().Snapshot().Members() {
+// turn returns the engines without an agent that are asked next, and where the
+// turn after that begins; 0 when all were asked.
+func turn(members []*wire.Member, from int) (asked []*wire.Backend, next int) {
+	var engines []*wire.Backend
+	for _, m := range members {
 		if m.GetBackend().GetAddress() != "" && len(m.GetBackend().GetModels()) > 0 {
-			replies = append(replies, engineReply{backend: m.GetBackend()})
+			engines = append(engines, m.GetBackend())
 		}
 	}
+	if from >= len(engines) {
+		from = 0
+	}
+	end := min(from+maxReports, len(engines))
+	if end == len(engines) {
+		return engines[from:], 0
+	}
+	return engines[from:end], end
+}
+
+// askEngines asks engines for their load at the same time.
+func (l *leader) askEngines(ctx context.Context, asked []*wire.Backend) []engineReply {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	replies := make([]engineReply, len(asked))
+	for i, b := range asked {
+		replies[i].backend = b
+	}
 	var wg sync.WaitGroup
 	for i := range replies {
 		wg.Go(func() { replies[i].report, replies[i].err = l.options.Engines.Report(ctx, replies[i].backend) })
