--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -39,7 +39,8 @@
 // regressionSeeds are seeds that failed once, with the cause, and regressionLength is
 // the length of the runs in which they did.
 var regressionSeeds = map[uint64]string{
-	2: "a booking was told not_run by a router that had not read its record; an earlier send of it had run",
+	2:    "a booking was told not_run by a router that had no configuration yet; an earlier send of it had run",
+	2008: "the same, for three bookings, after both routers were killed together",
 }
 
 const regressionLength = 10 * time.Second
