--- a/internal/e2e/soak_test.go
+++ b/internal/e2e/soak_test.go
@@ -99,15 +99,13 @@
 	// the change behind each.
 	acknowledged uint64
 	accepted     map[uint64]string
-	// newest is the newest revision that each router has shown, and leaders the
-	// process seen leading in each term.
-	newest  map[string]uint64
+	// leaders holds the process seen leading in each term.
 	leaders map[uint64]string
 }
 
 func newSoak(t *testing.T) *soak {
 	in := newInstallation(t, layout{network: true, edges: true})
-	s := &soak{t: t, in: in, processLocks: map[string]*sync.Mutex{}, accepted: map[uint64]string{}, newest: map[string]uint64{}, leaders: map[uint64]string{}}
+	s := &soak{t: t, in: in, processLocks: map[string]*sync.Mutex{}, accepted: map[uint64]string{}, leaders: map[uint64]string{}}
 	for name := range in.processes {
 		s.processLocks[name] = &sync.Mutex{}
 	}
@@ -141,6 +139,8 @@
 		s.t.Log(f)
 	}
 	s.load = startLoad(s.in)
+	defer s.load.stopped.Store(true)
+	defer s.ended.Store(true)
 	var watch sync.WaitGroup
 	for i := range routers {
 		watch.Go(func() { s.watchRevision(fmt.Sprint("router-", i)) })
@@ -186,6 +186,9 @@
 	if d := time.Since(accepted); d > inForceLimit {
 		s.t.Errorf("the change was in force everywhere only %v after it was accepted", d)
 	}
+	if revision <= s.acknowledged {
+		s.t.Errorf("revision %d was given after %d had been acknowledged", revision, s.acknowledged)
+	}
 	s.acknowledge(revision, "ordinary")
 	s.load.progress("requests after the faults")
 	if d := time.Since(began); d > healLimit {
@@ -251,6 +254,7 @@
 // one, whichever life it is in.
 func (s *soak) watchRevision(router string) {
 	body := `{"model":"assessor","max_tokens":1,"messages":[{"role":"user","content":"x"}]}`
+	newest := uint64(0)
 	for !s.ended.Load() {
 		resp, err := s.load.post(router, "/v1/chat/completions", "", body)
 		if err != nil {
@@ -262,12 +266,10 @@
 		if err != nil || resp.StatusCode != 200 {
 			continue // refused before a view was looked at
 		}
-		if newest := s.newest[router]; revision < newest {
+		if revision < newest {
 			s.load.fault("%s showed revision %d after %d", router, revision, newest)
 		}
-		s.mu.Lock()
-		s.newest[router] = max(s.newest[router], revision)
-		s.mu.Unlock()
+		newest = max(newest, revision)
 	}
 }
 
