--- a/internal/follow/driver.go
+++ b/internal/follow/driver.go
@@ -105,7 +105,7 @@
 }
 
 // configured returns the sources known from the settings. Once the control
-// replicas are known, other control addresses pass for less: they only follow.
+// replicas are known, other control addresses rank as routers: they keep no replica.
 func (d *Driver) configured() []view.Source {
 	d.mu.Lock()
 	defer d.mu.Unlock()
