One copy each of named weights, of the HTTP listener, of the wait and of what a direct engine is

Found on reading the whole change again; behaviour stays as it is. - The rollout and the routers both kept when versions of weights were named: fleet.NamedWeights serves both. - serveOperators was node.serveHTTP again: node.ServeHTTP is exported and called. - Four waits for a time or the end of a context were backoff.Sleep again. - Three tests for an engine without an agent are fleet.IsDirectEngine. - noteControl of the view's driver took its lock three times: one locked step does. - An address as the source of an import was set by decide and always replaced after it: that branch is gone. - The leader compared each followed source with all others twice a second: a set.

--- a/cmd/parsleypulleyd/control.go
+++ b/cmd/parsleypulleyd/control.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
 	"parsleypulley/internal/account"
 	"parsleypulley/internal/control"
 	"parsleypulley/internal/daemon"
-	"parsleypulley/internal/event"
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/node"
 	"parsleypulley/internal/operator"
@@ -49,7 +46,9 @@
 		return err
 	}
 	operators := &control.Operators{Name: c.Name, Node: replica.Node, Machine: replica.Machine, Pool: p.Pool, Peers: others(c.Control, c.Address())}
-	stopOperators, err := c.serveOperators(p, operator.Handler(operators, keys))
+	stopOperators, err := node.ServeHTTP(p, c.Operator, "operator", maxOperators, &http.Server{
+		Handler: operator.Handler(operators, keys), ReadTimeout: operatorReadTimeout, WriteTimeout: operatorWriteTimeout, MaxHeaderBytes: operatorHeaderBytes,
+	})
 	if err != nil {
 		return err
 	}
@@ -85,27 +84,6 @@
 	maxOperators         = 256
 )
 
-// serveOperators serves the operator API and returns how to stop it.
-func (c *controlCommand) serveOperators(p *daemon.Process, h http.Handler) (func(context.Context), error) {
-	ln, err := net.Listen("tcp", c.Operator)
-	if err != nil {
-		return nil, fmt.Errorf("listen for operators: %w", err)
-	}
-	ln = daemon.LimitListener(ln, "operator", maxOperators)
-	server := &http.Server{Handler: h, ReadTimeout: operatorReadTimeout, WriteTimeout: operatorWriteTimeout, MaxHeaderBytes: operatorHeaderBytes}
-	p.Go(func() error {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	return func(ctx context.Context) {
-		if err := server.Shutdown(ctx); err != nil {
-			event.StopCut("operator", err)
-		}
-	}, nil
-}
-
 func others(addresses []string, self string) []string {
 	var out []string
 	for _, a := range addresses {
--- a/internal/control/holdings.go
+++ b/internal/control/holdings.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"parsleypulley/internal/backoff"
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/prefix"
@@ -96,8 +97,12 @@
 func (b *holdingsBoard) follow(ctx context.Context, sources []fleet.CacheSource) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	wanted := map[fleet.CacheSource]bool{}
+	for _, source := range sources {
+		wanted[source] = true
+	}
 	for source, h := range b.open {
-		if !slices.Contains(sources, source) {
+		if !wanted[source] {
 			h.cancel()
 			delete(b.open, source)
 		}
@@ -128,10 +133,7 @@
 			failing = true
 			event.CacheEventsLost(source.Address, err)
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(eventsPause):
-		}
+		backoff.Sleep(ctx, eventsPause)
 	}
 }
 
@@ -157,7 +159,7 @@
 		if len(sources) >= maxSources {
 			break
 		}
-		if b := m.GetBackend(); b.GetAddress() != "" && len(b.GetModels()) > 0 && m.GetState() != wire.BackendState_BACKEND_STATE_SUSPECTED {
+		if b := m.GetBackend(); fleet.IsDirectEngine(b) && m.GetState() != wire.BackendState_BACKEND_STATE_SUSPECTED {
 			sources = append(sources, engineSource(b))
 		}
 	}
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -143,7 +143,7 @@
 func turn(members []*wire.Member, from int) (asked []*wire.Backend, next int) {
 	var engines []*wire.Backend
 	for _, m := range members {
-		if m.GetBackend().GetAddress() != "" && len(m.GetBackend().GetModels()) > 0 {
+		if fleet.IsDirectEngine(m.GetBackend()) {
 			engines = append(engines, m.GetBackend())
 		}
 	}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"parsleypulley/internal/backoff"
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/link"
 )
@@ -197,22 +198,13 @@
 		case <-ctx.Done():
 		}
 	}()
-	waitGrace(ctx)
+	// The balancer is to see that the process is not ready.
+	backoff.Sleep(ctx, readinessGrace)
 	drain(ctx)
 	p.server.Shutdown(ctx)
 	event.StopEnds(p.Role, ctx.Err() == nil)
 }
 
-// waitGrace waits for the balancer to see that the process is not ready.
-func waitGrace(ctx context.Context) {
-	timer := time.NewTimer(readinessGrace)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (p *Process) stop() {
 	p.cancel()
 	p.server.Close()
--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -130,25 +130,15 @@
 	loads map[string]*load
 	// failed holds back engines that were given up, by name.
 	failed map[string]time.Time
-	// named holds the versions named of each model, oldest first, with the time
-	// at which this leader learnt of them.
-	named map[string][]namedVersion
+	// named holds the versions that this leader learnt of.
+	named NamedWeights
 }
 
-// namedVersion is a version of a model's weights and when it was named.
-type namedVersion struct {
-	version uint64
-	at      time.Time
-}
-
-// maxNamed bounds the versions remembered of one model.
-const maxNamed = 16
-
 // NewRollout returns the rollout of the leader of term, which gives no order
 // before oldLease is over.
 func NewRollout(term uint64, now time.Time, oldLease time.Duration) *Rollout {
 	return &Rollout{term: term, start: now.Add(oldLease), loads: map[string]*load{}, failed: map[string]time.Time{},
-		named: map[string][]namedVersion{}}
+		named: NamedWeights{}}
 }
 
 // Plan returns what to do now. Call it every 50 to 100 ms with the members in
@@ -164,7 +154,7 @@
 			actions = r.advance(now, m, l, targets, actions)
 		}
 	}
-	r.noteTargets(now, targets)
+	r.named.Note(now, targets)
 	waiting := r.candidates(now, members, targets)
 	limit := maxRollouts(countEngines(members), r.longestOutdated(now, waiting, targets))
 	for _, m := range waiting {
@@ -176,18 +166,6 @@
 	return actions
 }
 
-// noteTargets remembers when each version was named.
-func (r *Rollout) noteTargets(now time.Time, targets []*wire.WeightsTarget) {
-	for _, t := range targets {
-		known := r.named[t.GetModel()]
-		if n := len(known); n > 0 && known[n-1].version >= t.GetVersion() {
-			continue
-		}
-		known = append(known, namedVersion{t.GetVersion(), now})
-		r.named[t.GetModel()] = known[max(0, len(known)-maxNamed):]
-	}
-}
-
 // longestOutdated returns for how long the most outdated of the engines has been
 // so.
 func (r *Rollout) longestOutdated(now time.Time, waiting []*wire.Member, targets []*wire.WeightsTarget) time.Duration {
@@ -195,8 +173,8 @@
 	for _, m := range waiting {
 		model, held := outdated(m.GetBackend(), targets)
 		for _, v := range r.named[model] {
-			if v.version > held {
-				longest = max(longest, now.Sub(v.at))
+			if v.Version > held {
+				longest = max(longest, now.Sub(v.At))
 				break
 			}
 		}
@@ -204,12 +182,15 @@
 	return longest
 }
 
+// IsDirectEngine reports whether b is an engine that is called without an agent.
+func IsDirectEngine(b *wire.Backend) bool { return b.GetAddress() != "" && len(b.GetModels()) > 0 }
+
 // countEngines returns the number of engines without an agent that serve or load.
 func countEngines(members []*wire.Member) int {
 	n := 0
 	for _, m := range members {
 		serves := m.GetState() == wire.BackendState_BACKEND_STATE_READY || m.GetState() == wire.BackendState_BACKEND_STATE_LOADING
-		if serves && m.GetBackend().GetAddress() != "" && len(m.GetBackend().GetModels()) > 0 {
+		if serves && IsDirectEngine(m.GetBackend()) {
 			n++
 		}
 	}
--- a/internal/follow/driver.go
+++ b/internal/follow/driver.go
@@ -70,7 +70,9 @@
 	for {
 		if s := d.opts.Log.Snapshot(); s.Version != version {
 			version = s.Version
-			d.addAgents(s)
+			d.mu.Lock()
+			d.setSources(s)
+			d.mu.Unlock()
 		}
 		d.step(ctx, func(now time.Time) []view.Action { return d.follower.Tick(now) })
 		select {
@@ -84,13 +86,14 @@
 // SetConfigured replaces the sources known from the settings.
 func (d *Driver) SetConfigured(sources []view.Source) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.opts.Sources = sources
-	d.mu.Unlock()
-	d.addAgents(d.opts.Log.Snapshot())
+	d.setSources(d.opts.Log.Snapshot())
 }
 
-// addAgents offers a few agents of the view as sources, spread by the seed.
-func (d *Driver) addAgents(s *view.Snapshot) {
+// setSources offers the sources known from the settings and a few agents of the
+// view, spread by the seed; d.mu is held.
+func (d *Driver) setSources(s *view.Snapshot) {
 	sources := d.configured()
 	members := s.Members()
 	for i := range min(maxAgentSources, len(members)) {
@@ -99,16 +102,13 @@
 			sources = append(sources, view.Source{Address: m.Backend.AgentAddress, Role: view.RoleAgent})
 		}
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.follower.SetSources(sources)
 }
 
 // configured returns the sources known from the settings. Once the control
 // replicas are known, other control addresses rank as routers: they keep no replica.
+// d.mu is held.
 func (d *Driver) configured() []view.Source {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	sources := slices.Clone(d.opts.Sources)
 	for i, source := range sources {
 		if source.Role == view.RoleControl && len(d.control) > 0 && !slices.Contains(d.control, source.Address) {
@@ -197,25 +197,31 @@
 	if len(addresses) == 0 {
 		return
 	}
+	if !d.takeControl(addresses) {
+		return
+	}
+	event.ReplicasChanged(strings.Join(addresses, ","))
+	if d.opts.ControlChanged != nil {
+		d.opts.ControlChanged(addresses)
+	}
+}
+
+// takeControl takes the control replicas as sources, and reports whether they are
+// others than before.
+func (d *Driver) takeControl(addresses []string) bool {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	if slices.Equal(addresses, d.control) {
-		d.mu.Unlock()
-		return
+		return false
 	}
 	d.control = addresses
-	d.mu.Unlock()
-	d.addAgents(d.opts.Log.Snapshot())
-	d.mu.Lock()
+	d.setSources(d.opts.Log.Snapshot())
 	for _, address := range addresses {
 		if address != d.opts.Self {
 			d.follower.Learn(view.Source{Address: address, Role: view.RoleControl})
 		}
 	}
-	d.mu.Unlock()
-	event.ReplicasChanged(strings.Join(addresses, ","))
-	if d.opts.ControlChanged != nil {
-		d.opts.ControlChanged(addresses)
-	}
+	return true
 }
 
 // Control returns the link addresses of the control replicas last heard.
--- a/internal/forward/choose.go
+++ b/internal/forward/choose.go
@@ -17,23 +17,13 @@
 	router  *routing.Router
 	limits  BudgetLimits
 	budgets map[string]*budget
-	// named holds the newest weights of each model, with the time at which this
-	// router learnt of them.
-	named map[string][]naming
+	// named holds the weights that this router learnt of.
+	named fleet.NamedWeights
 	// weightsBound is the time after which outdated weights are not used; 0 is
 	// never.
 	weightsBound time.Duration
 }
 
-// maxNamed bounds the versions remembered of one model.
-const maxNamed = 16
-
-// naming is a version of weights and when it was heard of.
-type naming struct {
-	version uint64
-	at      time.Time
-}
-
 const (
 	// importRate is the speed of imports between engines, in tokens a second: 35
 	// GB/s at a third of a MB a token, the links of the deployments known.
@@ -47,7 +37,7 @@
 )
 
 func newChooser(domain string, seed uint64, limits BudgetLimits, weightsBound time.Duration) *chooser {
-	c := &chooser{router: routing.New(domain, seed), limits: limits, budgets: map[string]*budget{}, named: map[string][]naming{}, weightsBound: weightsBound}
+	c := &chooser{router: routing.New(domain, seed), limits: limits, budgets: map[string]*budget{}, named: fleet.NamedWeights{}, weightsBound: weightsBound}
 	c.router.SetSettings(routing.Settings{ImportRate: importRate, StrayWeight: strayWeight})
 	return c
 }
@@ -57,13 +47,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.router.SetBackends(now, s.Members())
-	for _, target := range s.WeightsTargets() {
-		known := c.named[target.GetModel()]
-		if n := len(known); n == 0 || known[n-1].version < target.GetVersion() {
-			known = append(known, naming{target.GetVersion(), now})
-			c.named[target.GetModel()] = known[max(0, len(known)-maxNamed):]
-		}
-	}
+	c.named.Note(now, s.WeightsTargets())
 }
 
 // weights returns the versions of a model's weights below which engines must not
@@ -72,12 +56,12 @@
 func (c *chooser) weights(now time.Time, model string) (required, preferred uint64) {
 	versions := c.named[model]
 	for _, known := range versions {
-		if c.weightsBound > 0 && now.Sub(known.at) >= c.weightsBound {
-			required = known.version
+		if c.weightsBound > 0 && now.Sub(known.At) >= c.weightsBound {
+			required = known.Version
 		}
 	}
-	if n := len(versions); n > 0 && now.Sub(versions[n-1].at) >= preferAfter {
-		preferred = versions[n-1].version
+	if n := len(versions); n > 0 && now.Sub(versions[n-1].At) >= preferAfter {
+		preferred = versions[n-1].Version
 	}
 	return required, preferred
 }
--- a/internal/forward/stores.go
+++ b/internal/forward/stores.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"parsleypulley/internal/backoff"
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/prefix"
 	"parsleypulley/internal/view"
@@ -79,10 +80,7 @@
 			}
 		}
 		s.set(address, w, false, err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(storeRetry):
-		}
+		backoff.Sleep(ctx, storeRetry)
 	}
 }
 
--- a/internal/node/bootstrap.go
+++ b/internal/node/bootstrap.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"parsleypulley/internal/backoff"
 	"parsleypulley/internal/consensus"
 	"parsleypulley/internal/daemon"
 	"parsleypulley/internal/event"
@@ -90,7 +91,7 @@
 				}
 			}
 		}
-		sleep(ctx, wait)
+		backoff.Sleep(ctx, wait)
 	}
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -121,13 +121,14 @@
 
 // serveOutside serves operators and backend servers.
 func (o *ControlOptions) serveOutside(p *daemon.Process, outside Outside, views *view.Log) (func(context.Context), error) {
-	return serveHTTP(p, o.Listen, "outside", maxOutside, &http.Server{
+	return ServeHTTP(p, o.Listen, "outside", maxOutside, &http.Server{
 		Handler: o.Handler(outside, views.Store()), ReadTimeout: outsideReadTimeout, IdleTimeout: outsideIdleTimeout,
 	})
 }
 
-// serveHTTP serves on address and returns how to stop it.
-func serveHTTP(p *daemon.Process, address, name string, maxConnections int, server *http.Server) (func(context.Context), error) {
+// ServeHTTP serves on address, to at most maxConnections at once, and returns how to
+// stop it.
+func ServeHTTP(p *daemon.Process, address, name string, maxConnections int, server *http.Server) (func(context.Context), error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", name, err)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"parsleypulley/internal/backoff"
 	"parsleypulley/internal/daemon"
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
@@ -77,13 +78,13 @@
 		return err
 	}
 	var stopping atomic.Bool
-	stopReady, err := serveHTTP(p, o.ReadyListen, "readiness", maxReadyCalls, &http.Server{
+	stopReady, err := ServeHTTP(p, o.ReadyListen, "readiness", maxReadyCalls, &http.Server{
 		Handler: readiness(o.ReadyPath, forwarder, &stopping), ReadTimeout: headerTimeout,
 	})
 	if err != nil {
 		return err
 	}
-	stop, err := serveHTTP(p, o.Listen, "callers", o.MaxConnections, &http.Server{
+	stop, err := ServeHTTP(p, o.Listen, "callers", o.MaxConnections, &http.Server{
 		Handler: forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle, MaxHeaderBytes: maxHeaderBytes,
 	})
 	if err != nil {
@@ -93,22 +94,13 @@
 	return p.Wait(func(ctx context.Context) {
 		stopping.Store(true)
 		forwarder.Stop()
-		sleep(ctx, unreadyTime)
+		backoff.Sleep(ctx, unreadyTime)
 		watches.Close()
 		stop(ctx)
 		stopReady(ctx)
 	})
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // readiness answers 200 while the router takes calls. It logs each change.
 func readiness(path string, forwarder *forward.Forwarder, stopping *atomic.Bool) http.Handler {
 	var was atomic.Bool
--- a/internal/node/space.go
+++ b/internal/node/space.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"parsleypulley/internal/backoff"
 	"parsleypulley/internal/event"
 )
 
@@ -39,7 +40,7 @@
 			told = true
 			event.DiskFull(data, err)
 		}
-		sleep(ctx, spacePoll)
+		backoff.Sleep(ctx, spacePoll)
 	}
 }
 
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"cmp"
 	"time"
 
 	"parsleypulley/internal/prefix"
@@ -335,7 +334,7 @@
 		Weights:      c.server.weights,
 	}
 	if c.source != nil {
-		d.KVSource = cmp.Or(c.source.backend.AgentAddress, c.source.backend.Address)
+		d.KVSource = c.source.backend.AgentAddress
 	}
 	return d
 }
