--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -210,8 +210,8 @@
 // ends.
 func (c *conn) roundTrip(ctx context.Context, req *http.Request, bodyLength int, isMatch func(*http.Response) bool) (resp *http.Response, reqWrite *requestWrite, sent bool, err error) {
 	reqWrite = c.write(req, bodyLength)
-	if reqWrite.done && reqWrite.err != nil {
-		return nil, reqWrite, reqWrite.sent, reqWrite.err
+	if finished, err := reqWrite.result(); finished && err != nil {
+		return nil, reqWrite, reqWrite.sent, err
 	}
 	for range maxStrayResponses + 1 {
 		resp, err = c.readHead(req)
@@ -230,42 +230,44 @@
 
 // requestWrite is the state of writing a request.
 type requestWrite struct {
-	// done is set when writing has ended.
-	done bool
 	// sent is set if any byte may have been written.
 	sent bool
-	// err is the error of the write. If it is nil once done is set, the whole
-	// request was written.
-	err error
-	// finished is closed when a write in the background has ended. It is nil for
-	// other writes.
+	// finished is closed when writing has ended. err must not be read before.
 	finished chan struct{}
+	// err is the error of the write, or nil if the whole request was written.
+	err error
+}
+
+// result returns whether writing has ended, and if so its error.
+func (w *requestWrite) result() (finished bool, err error) {
+	select {
+	case <-w.finished:
+		return true, w.err
+	default:
+		return false, nil
+	}
 }
 
 // complete reports whether the whole request has been written.
 func (w *requestWrite) complete() bool {
-	if w.finished != nil {
-		select {
-		case <-w.finished:
-		default:
-			return false
-		}
-	}
-	return w.done && w.err == nil
+	finished, err := w.result()
+	return finished && err == nil
 }
 
 // write writes a request. It writes a request with a long body in the background.
 func (c *conn) write(req *http.Request, bodyLength int) *requestWrite {
 	out := &countingWriter{w: c.Conn}
+	w := &requestWrite{finished: make(chan struct{})}
 	if bodyLength <= asyncBodySize {
-		err := req.Write(out)
-		return &requestWrite{done: true, sent: out.n > 0, err: err}
+		w.err = req.Write(out)
+		w.sent = out.n > 0
+		close(w.finished)
+		return w
 	}
-	w := &requestWrite{sent: true, finished: make(chan struct{})}
+	w.sent = true
 	go func() {
 		defer close(w.finished)
 		w.err = req.Write(out)
-		w.done = true
 	}()
 	return w
 }
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -365,7 +365,7 @@
 	status, _, _, err := r.call()
 	is.NoErr(err)
 	is.Equal(status, 200)
-	r.f.BeginShutdown()
+	r.f.BeginShutdown(time.Now().Add(time.Minute))
 	status, _, _, _ = r.call()
 	is.Equal(status, 503)
 }
@@ -393,3 +393,43 @@
 	is.NoErr(err)
 	is.Equal(body, "second")
 }
+
+// A long body is written while the response is read: the backend server responds
+// before it has read all of it.
+func TestResponseBeforeTheWholeBodyIsRead(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				writeResponse(c, r, http.StatusOK, "Connection: close\r\n", "early")
+				_, _ = io.Copy(io.Discard, r.Body)
+			}()
+		}
+	}()
+	r := newFixture(t, forwardRoute(nil), ln.Addr().String())
+	for range 20 {
+		req, err := http.NewRequest(http.MethodPost, r.server.URL+"/p/x", strings.NewReader(strings.Repeat("x", 20*asyncBodySize)))
+		is.NoErr(err)
+		req.Host = "one.example"
+		req.Header.Set("Call", "c1")
+		req.Header.Set("Key", "k")
+		resp, err := http.DefaultClient.Do(req)
+		is.NoErr(err)
+		body, err := io.ReadAll(resp.Body)
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(string(body), "early")
+	}
+}
