--- a/cmd/parsleypulleyd/main.go
+++ b/cmd/parsleypulleyd/main.go
@@ -3,11 +3,9 @@
 package main
 
 import (
-	"os"
-
 	"github.com/alecthomas/kong"
 
-	"parsleypulley/internal/event"
+	"parsleypulley/internal/daemon"
 )
 
 type cli struct {
@@ -20,8 +18,5 @@
 	var c cli
 	ctx := kong.Parse(&c, kong.Name("parsleypulleyd"),
 		kong.Description("Router for language-model traffic with long shared prompts."))
-	if err := ctx.Run(); err != nil {
-		event.ProcessFailed(err)
-		os.Exit(1)
-	}
+	daemon.Exit(ctx.Run())
 }
--- a/internal/daemon/log_test.go
+++ b/internal/daemon/log_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -112,3 +114,24 @@
 		event.ForwardedCallServed(call)
 	}
 }
+
+// exitVariable is set in the process that TestFailureIsLoggedBeforeExit starts.
+const exitVariable = "PARSLEYPULLEY_TEST_EXIT"
+
+// A process that fails logs the reason before it ends.
+func TestFailureIsLoggedBeforeExit(t *testing.T) {
+	if os.Getenv(exitVariable) != "" {
+		(&Settings{LogLevel: "info"}).StartLog()
+		Exit(errors.New("the address is in use"))
+	}
+	is := is.New(t)
+	for range 5 {
+		process := exec.Command(os.Args[0], "-test.run=^TestFailureIsLoggedBeforeExit$")
+		process.Env = append(os.Environ(), exitVariable+"=1")
+		out, err := process.Output()
+		var exit *exec.ExitError
+		is.True(errors.As(err, &exit))
+		is.Equal(exit.ExitCode(), 1)
+		is.True(strings.Contains(string(out), "the address is in use"))
+	}
+}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -107,16 +108,36 @@
 	return link.LoadTLS(s.TLSCA, s.TLSCert, s.TLSKey)
 }
 
+// standardLog is the log writer that the last StartLog set up; nil before.
+var standardLog atomic.Pointer[logWriter]
+
 // StartLog writes log events to standard output, each as a line of key=value pairs.
-// The returned function waits for queued lines to be written, for logFlushTimeout at
-// most.
-func (s *Settings) StartLog() (flush func()) {
+// The lines are queued; see FlushLog.
+func (s *Settings) StartLog() {
 	lines := newLogWriter(os.Stdout)
+	standardLog.Store(lines)
 	log.SetHandler(lines)
 	log.SetLevel(log.MustParseLevel(s.LogLevel))
 	stdlog.SetFlags(0)
 	stdlog.SetOutput(stdlogWriter{})
-	return func() { lines.flush(logFlushTimeout) }
+}
+
+// FlushLog waits for queued log lines to be written, for logFlushTimeout at most.
+func FlushLog() {
+	if lines := standardLog.Load(); lines != nil {
+		lines.flush(logFlushTimeout)
+	}
+}
+
+// Exit ends the process. If err is not nil, it is logged and the exit status is 1.
+func Exit(err error) {
+	status := 0
+	if err != nil {
+		event.ProcessFailed(err)
+		status = 1
+	}
+	FlushLog()
+	os.Exit(status)
 }
 
 // stdlogWriter converts the messages that libraries such as net/http write to the
