--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -27,8 +27,7 @@
 // Compile validates and indexes a complete configuration. It returns an
 // *InvalidError with all problems if the configuration is invalid. The
 // configuration at revision 0 is empty; at any other revision, an empty one is
-// invalid. A configuration at revision 0 must not contain objects. Compile does
-// not check this.
+// invalid. A configuration at revision 0 must not contain objects.
 func Compile(c *wire.Config) (*Compiled, error) {
 	all := &wire.ConfigChange{
 		PutAccounts:   c.GetAccounts(),
@@ -37,8 +36,12 @@
 		PutPresets:    c.GetPresets(),
 		PresetInForce: c.GetPresetInForce(),
 	}
-	if c.GetRevision() == 0 && isEmptyChange(all) {
+	switch {
+	case c.GetRevision() != 0:
+	case isEmptyChange(all):
 		return Empty(), nil
+	default:
+		return nil, &InvalidError{Problems: []Problem{{Message: "a configuration at revision 0 must be empty"}}}
 	}
 	compiled, err := Empty().With(all)
 	if err != nil {
--- a/internal/config/state_test.go
+++ b/internal/config/state_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"testing"
@@ -282,3 +283,16 @@
 	few, many := allocations(400), allocations(13_000)
 	is.True(many <= few+10) // copying larger shards takes a few more allocations
 }
+
+// Revision 0 is the empty configuration. One that has objects is damaged.
+func TestObjectsAtRevisionZeroAreInvalid(t *testing.T) {
+	is := is.New(t)
+	c := newInitialState(t).current.Config()
+	c.Revision = 0
+	_, err := Compile(c)
+	var invalid *InvalidError
+	is.True(errors.As(err, &invalid))
+	empty, err := Compile(&wire.Config{})
+	is.NoErr(err)
+	is.Equal(empty.Revision, uint64(0))
+}
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -71,6 +71,7 @@
 		"no trailing slash": func(t *wire.RouteTable) { t.Routes[0].PathPrefix = "/a" },
 		"shared key":        func(t *wire.RouteTable) { t.Accounts[1].KeySha256[0] = digest("k1") },
 		"service twice":     func(t *wire.RouteTable) { t.Services[1].Name = "lab" },
+		"name of a store":   func(t *wire.RouteTable) { t.Services = append(t.Services, &wire.ForwardService{Name: "store"}) },
 	}
 	for name, invalidate := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/internal/routes/validate.go
+++ b/internal/routes/validate.go
@@ -20,7 +20,7 @@
 		if s.GetName() == "" {
 			addProblem("a service has no name")
 		}
-		if services[s.GetName()] {
+		if _, declared := services[s.GetName()]; declared {
 			addProblem("service %q is declared twice", s.GetName())
 		}
 		services[s.GetName()] = s.GetStore() == nil
