--- a/internal/node/bootstrap_test.go
+++ b/internal/node/bootstrap_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -20,7 +21,6 @@
 	"parsleypulley/internal/daemon"
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/membership"
-	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
 
@@ -59,12 +59,14 @@
 	}
 }
 
-// freeAddresses returns addresses that nothing listens on.
+// freeAddresses returns addresses that nothing listens on. Their random loopback IP
+// numbers keep the ports free until they are used: the system takes the source port of a
+// connection from 127.0.0.1.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
 	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(254), rand.N(256), 1+rand.N(254)))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -96,7 +98,7 @@
 		Settings: &daemon.Settings{Name: settings[0], Domain: "d", Link: settings[0], Control: settings[3:], LogLevel: "info", Trace: "off", StopDeadline: time.Second},
 		Data:     settings[1], Listen: settings[2], Bootstrap: true,
 		Control: control.Options{Leases: membership.DefaultLeaseConfig()},
-		Handler: func(o ControlAPI, _ *view.Store) http.Handler {
+		Handler: func(o ControlAPI, _ daemon.Views) http.Handler {
 			return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 				ctx, cancel := context.WithTimeout(r.Context(), time.Second)
 				defer cancel()
