node: a replica restarts inside its process after its disk was full

Cause: a replica whose disk refuses a write stops for good, and its process waited for space and then ended with code 1, to be started again by the platform. Change: replicaHost starts the replica anew from its files, with new service, bootstrap and leader client; link and HTTP listeners stay.

--- a/cmd/parsleypulleyd/control.go
+++ b/cmd/parsleypulleyd/control.go
@@ -12,6 +12,7 @@
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/node"
 	"parsleypulley/internal/operator"
+	"parsleypulley/internal/storage"
 )
 
 type controlCommand struct {
@@ -34,14 +35,14 @@
 	if err != nil {
 		return err
 	}
-	replica, err := node.StartReplica(p, c.Data, addressesExcept(c.Control, c.Address()))
+	replica, err := node.StartReplica(p, c.Data, storage.Options{}, addressesExcept(c.Control, c.Address()))
 	if err != nil {
 		return err
 	}
 	defer replica.Close()
 	service := control.NewService(replica.Node, replica.Machine, control.DefaultOptions())
 	daemon.PublishView(replica.Machine.Log(), nil)
-	daemon.PublishReplica(replica.Node)
+	daemon.PublishReplica(replica.Status)
 	if err := p.Serve(link.Handler(service), func() error { return node.ReplicaReady(replica.Node) }); err != nil {
 		return err
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -12,9 +12,15 @@
 	"parsleypulley/internal/view"
 )
 
+// Views returns the newest view that a process has.
+type Views interface {
+	Snapshot() *view.Snapshot
+	Version() uint64
+}
+
 // PublishView publishes the state of the view as expvar metrics. driver may be nil;
 // the metrics of the view's source are then omitted.
-func PublishView(views *view.Log, driver *follow.Driver) {
+func PublishView(views Views, driver *follow.Driver) {
 	expvar.Publish("view_version", expvar.Func(func() any { return views.Version() }))
 	expvar.Publish("config_revision", expvar.Func(func() any { return views.Snapshot().Config.Revision }))
 	expvar.Publish("view_members", expvar.Func(func() any { return len(views.Snapshot().Members()) }))
@@ -26,12 +32,12 @@
 }
 
 // PublishReplica publishes the state of a control replica as expvar metrics.
-func PublishReplica(node *consensus.Node) {
-	expvar.Publish("consensus_term", expvar.Func(func() any { return node.Status().Term }))
-	expvar.Publish("consensus_role", expvar.Func(func() any { return node.Status().Role.String() }))
-	expvar.Publish("consensus_commit_index", expvar.Func(func() any { return node.Status().Commit }))
-	expvar.Publish("consensus_applied_index", expvar.Func(func() any { return node.Status().Applied }))
-	expvar.Publish("consensus_confirmed", expvar.Func(func() any { return node.Status().Confirmed }))
+func PublishReplica(status func() consensus.Status) {
+	expvar.Publish("consensus_term", expvar.Func(func() any { return status().Term }))
+	expvar.Publish("consensus_role", expvar.Func(func() any { return status().Role.String() }))
+	expvar.Publish("consensus_commit_index", expvar.Func(func() any { return status().Commit }))
+	expvar.Publish("consensus_applied_index", expvar.Func(func() any { return status().Applied }))
+	expvar.Publish("consensus_confirmed", expvar.Func(func() any { return status().Confirmed }))
 }
 
 // linkCalls counts the link calls received from other processes, by kind.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -18,7 +18,7 @@
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/link"
-	"parsleypulley/internal/view"
+	"parsleypulley/internal/storage"
 	"parsleypulley/internal/wire"
 )
 
@@ -28,6 +28,8 @@
 	// Data is the data folder. It is empty on a VM without a replica, which forwards
 	// calls to the leader.
 	Data string
+	// Storage configures the files in Data. The zero value selects the defaults.
+	Storage storage.Options
 	// Listen is the address (ip:port) for calls of operators and backend servers.
 	Listen string
 	// Bootstrap is set when the whole installation starts for the first time.
@@ -36,7 +38,7 @@
 	// RunControl.
 	Control control.Options
 	// Handler returns the HTTP handler for calls at Listen.
-	Handler func(ControlAPI, *view.Store) http.Handler
+	Handler func(ControlAPI, daemon.Views) http.Handler
 	// WatchControlAddresses calls update whenever the link addresses of the control
 	// replicas in the settings change, until ctx ends. It may be nil.
 	WatchControlAddresses func(ctx context.Context, update func(addresses []string))
@@ -79,57 +81,35 @@
 	if err != nil {
 		return err
 	}
-	awaitDiskSpace(p.Context, o.Data)
-	replica, err := StartReplica(p, o.Data, o.Settings.Control)
-	if err != nil {
-		return err
-	}
-	defer replica.Close()
-	node, machine := replica.Node, replica.Machine
-	leaderClient := controlclient.New(p.Pool, o.Settings.Control, machine.Log().Version)
-	leaderClient.SetCallTimeout(forwardTimeout)
-	o.Control.LeaderClient = leaderClient
-	o.Control.SendToReplica = func(ctx context.Context, address string, req *wire.Request) error {
-		_, err := p.Pool.Call(ctx, address, req)
+	host := &replicaHost{options: &o, process: p}
+	if err := host.start(); err != nil {
 		return err
 	}
-	service := control.NewService(node, machine, o.Control)
-	daemon.PublishView(machine.Log(), nil)
-	daemon.PublishReplica(node)
-	if err := p.Serve(link.Handler(service), func() error { return ReplicaReady(node) }); err != nil {
+	defer host.close()
+	daemon.PublishView(host, nil)
+	daemon.PublishReplica(host.status)
+	if err := p.Serve(host, host.ready); err != nil {
 		return err
 	}
-	stop, err := o.serveControlAPI(p, service, machine.Log())
+	stop, err := o.serveControlAPI(p, host, host)
 	if err != nil {
 		return err
 	}
-	bootstrap := &bootstrapper{process: p, node: node, self: o.Settings.Address(), firstStart: o.Bootstrap, configured: o.Settings.Control}
 	if o.WatchControlAddresses != nil {
-		go o.WatchControlAddresses(p.Context, bootstrap.configure)
+		go o.WatchControlAddresses(p.Context, host.configure)
 	}
-	go bootstrap.run(p.Context)
-	go service.Run(p.Context)
-	go followReplicas(p.Context, node, leaderClient)
-	p.Go(func() error {
-		<-node.Done()
-		if isDiskFull(node.Err()) {
-			event.ReplicaWaitsForDisk(node.Err())
-			awaitDiskSpace(p.Context, o.Data)
-		}
-		return node.Err()
-	})
+	p.Go(host.run)
 	return p.Wait(func(ctx context.Context) {
-		service.StopWatches()
-		TransferLeadership(ctx, node)
+		host.beginStop(ctx)
 		stop(ctx)
 	})
 }
 
 // serveControlAPI serves operators and backend servers, and returns the function that
 // stops the listener.
-func (o *ControlOptions) serveControlAPI(p *daemon.Process, api ControlAPI, views *view.Log) (func(context.Context), error) {
+func (o *ControlOptions) serveControlAPI(p *daemon.Process, api ControlAPI, views daemon.Views) (func(context.Context), error) {
 	return ServeHTTP(p, o.Listen, "outside", maxAPIConnections, &http.Server{
-		Handler: o.Handler(api, views.Store()), ReadTimeout: apiReadTimeout, IdleTimeout: apiIdleTimeout,
+		Handler: o.Handler(api, views), ReadTimeout: apiReadTimeout, IdleTimeout: apiIdleTimeout,
 	})
 }
 
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -20,8 +20,8 @@
 
 // StartReplica opens the data folder and starts a replica. peers holds the link
 // addresses of the other replicas. Close must be called.
-func StartReplica(p *daemon.Process, folder string, peers []string) (*Replica, error) {
-	store, damage, err := storage.OpenOrReset(folder, storage.Options{})
+func StartReplica(p *daemon.Process, folder string, files storage.Options, peers []string) (*Replica, error) {
+	store, damage, err := storage.OpenOrReset(folder, files)
 	if err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
 	}
--- /dev/null
+++ b/internal/node/replica_host.go
@@ -0,0 +1,185 @@
+package node
+
+import (
+	"context"
+	"sync"
+
+	"parsleypulley/internal/consensus"
+	"parsleypulley/internal/control"
+	"parsleypulley/internal/controlclient"
+	"parsleypulley/internal/daemon"
+	"parsleypulley/internal/event"
+	"parsleypulley/internal/link"
+	"parsleypulley/internal/view"
+	"parsleypulley/internal/wire"
+)
+
+// replicaHost runs the control replica of a process. If the replica stops because its
+// disk is full, the host starts it anew from its files once the disk accepts writes. In
+// the meantime calls reach the stopped replica, which refuses them.
+//
+// It implements link.Handler, ControlAPI and daemon.Views for the current replica.
+type replicaHost struct {
+	options *ControlOptions
+	process *daemon.Process
+
+	mu sync.Mutex
+	// current is the replica that runs, or has stopped last.
+	current *servedReplica
+	// configured holds the configured control addresses.
+	configured []string
+	// closed is set when no further replica may be started.
+	closed bool
+}
+
+// servedReplica is a replica with its service.
+type servedReplica struct {
+	*Replica
+	service   *control.Service
+	bootstrap *bootstrapper
+	// cancel ends the goroutines that belong to the replica.
+	cancel context.CancelFunc
+	end    sync.Once
+}
+
+// stop stops the replica, closes its files and ends its goroutines.
+func (r *servedReplica) stop() {
+	r.end.Do(func() {
+		r.service.StopWatches()
+		r.cancel()
+		r.Close()
+	})
+}
+
+// start waits until the disk accepts writes, and starts a replica from the data folder.
+func (h *replicaHost) start() error {
+	awaitDiskSpace(h.process.Context, h.options.Data)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.closed {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(h.process.Context)
+	r, err := h.newReplica(ctx)
+	if err != nil {
+		cancel()
+		return err
+	}
+	r.cancel = cancel
+	h.current = r
+	return nil
+}
+
+func (h *replicaHost) newReplica(ctx context.Context) (*servedReplica, error) {
+	settings := h.options.Settings
+	replica, err := StartReplica(h.process, h.options.Data, h.options.Storage, settings.Control)
+	if err != nil {
+		return nil, err
+	}
+	pool := h.process.Pool
+	leaderClient := controlclient.New(pool, settings.Control, replica.Machine.Log().Version)
+	leaderClient.SetCallTimeout(forwardTimeout)
+	options := h.options.Control
+	options.LeaderClient = leaderClient
+	options.SendToReplica = func(ctx context.Context, address string, req *wire.Request) error {
+		_, err := pool.Call(ctx, address, req)
+		return err
+	}
+	configured := h.configured
+	if configured == nil {
+		configured = settings.Control
+	}
+	r := &servedReplica{Replica: replica, service: control.NewService(replica.Node, replica.Machine, options),
+		bootstrap: &bootstrapper{process: h.process, node: replica.Node, self: settings.Address(), firstStart: h.options.Bootstrap, configured: configured}}
+	go r.bootstrap.run(ctx)
+	go r.service.Run(ctx)
+	go followReplicas(ctx, replica.Node, leaderClient)
+	return r, nil
+}
+
+// run starts the replica anew whenever it has stopped because of a full disk. It returns
+// the error of a replica that has stopped for another reason, and nil after close.
+func (h *replicaHost) run() error {
+	for {
+		r := h.replica()
+		<-r.Done()
+		err := r.Err()
+		if !isDiskFull(err) {
+			return err
+		}
+		event.ReplicaWaitsForDisk(err)
+		r.stop()
+		if err := h.start(); err != nil {
+			return err
+		}
+		if h.replica() == r {
+			return nil // closed
+		}
+	}
+}
+
+// replica returns the current replica.
+func (h *replicaHost) replica() *servedReplica {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.current
+}
+
+// configure replaces the configured control addresses.
+func (h *replicaHost) configure(addresses []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.configured = addresses
+	h.current.bootstrap.configure(addresses)
+}
+
+// beginStop prepares the replica for a planned stop.
+func (h *replicaHost) beginStop(ctx context.Context) {
+	r := h.replica()
+	r.service.StopWatches()
+	TransferLeadership(ctx, r.Node)
+}
+
+// close stops the replica.
+func (h *replicaHost) close() {
+	h.mu.Lock()
+	h.closed = true
+	r := h.current
+	h.mu.Unlock()
+	r.stop()
+}
+
+func (h *replicaHost) ready() error { return ReplicaReady(h.replica().Node) }
+
+func (h *replicaHost) status() consensus.Status { return h.replica().Status() }
+
+// ServeLink implements link.Handler.
+func (h *replicaHost) ServeLink(ctx context.Context, call *link.Call) error {
+	return h.replica().service.ServeLink(ctx, call)
+}
+
+// Snapshot implements daemon.Views.
+func (h *replicaHost) Snapshot() *view.Snapshot { return h.replica().Machine.Log().Snapshot() }
+
+// Version implements daemon.Views.
+func (h *replicaHost) Version() uint64 { return h.replica().Machine.Log().Version() }
+
+// PutRoutes implements ControlAPI.
+func (h *replicaHost) PutRoutes(ctx context.Context, change *wire.RouteTableChange) (*wire.RouteTableResult, error) {
+	return h.replica().service.PutRoutes(ctx, change)
+}
+
+// PutWeights implements ControlAPI.
+func (h *replicaHost) PutWeights(ctx context.Context, target *wire.WeightsTarget) error {
+	return h.replica().service.PutWeights(ctx, target)
+}
+
+// ReadRoutes implements ControlAPI.
+func (h *replicaHost) ReadRoutes(ctx context.Context) (*wire.RouteDocument, error) {
+	return h.replica().service.ReadRoutes(ctx)
+}
+
+// Announce implements ControlAPI.
+func (h *replicaHost) Announce(ctx context.Context, announce *wire.Announce) error {
+	return h.replica().service.Announce(ctx, announce)
+}
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -99,9 +99,11 @@
 		return err
 	}
 	event.Listening(o.Listen, "callers")
-	return p.Wait(func(ctx context.Context) {
+	p.OnStop = func(endsAt time.Time) {
 		stopping.Store(true)
-		forwarder.BeginShutdown()
+		forwarder.BeginShutdown(endsAt)
+	}
+	return p.Wait(func(ctx context.Context) {
 		backoff.Sleep(ctx, readinessDropTime)
 		watches.Close()
 		stop(ctx)
