forward: a stopping router takes only calls that it can finish, from the moment of the signal

For half a second after the signal it took streams of any kind and reported ready. Change: the stop begins with the signal.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -29,6 +29,10 @@
 	Context context.Context
 	// StartReason is the kind of start, for the log.
 	StartReason string
+	// OnStop, if set, is called at the beginning of the planned stop, before drain and
+	// before a load balancer can have seen that the process is not ready. endsAt is the
+	// deadline of the stop.
+	OnStop func(endsAt time.Time)
 
 	// linkAddress is the listen address for links.
 	linkAddress string
@@ -47,7 +51,6 @@
 	// stopping is set from the beginning of the stop.
 	stopping    atomic.Bool
 	flushTraces func(context.Context) error
-	flushLog    func()
 }
 
 // Limits of the listeners that all roles have.
@@ -64,7 +67,7 @@
 // NewProcess starts logging and tracing and creates the link pool of a role. It does
 // not listen yet.
 func NewProcess(s *Settings, role string) (*Process, error) {
-	flushLog := s.StartLog()
+	s.StartLog()
 	flushTraces, err := s.StartTraces(role)
 	if err != nil {
 		return nil, err
@@ -73,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{Settings: s, Role: role, Pool: link.NewPool(tlsConfig), componentErrs: make(chan error, 4), flushTraces: flushTraces, flushLog: flushLog}
+	p := &Process{Settings: s, Role: role, Pool: link.NewPool(tlsConfig), componentErrs: make(chan error, 4), flushTraces: flushTraces}
 	p.Context, p.cancel = context.WithCancel(context.Background())
 	return p, nil
 }
@@ -202,6 +205,9 @@
 	event.PlannedStopStarted(p.Role)
 	ctx, cancel := context.WithTimeout(context.Background(), p.Settings.StopDeadline)
 	defer cancel()
+	if deadline, ok := ctx.Deadline(); ok && p.OnStop != nil {
+		p.OnStop(deadline)
+	}
 	go func() {
 		select {
 		case <-signals:
@@ -228,5 +234,5 @@
 	if err := p.flushTraces(ctx); err != nil {
 		event.TraceFlushFailed(err)
 	}
-	p.flushLog()
+	FlushLog()
 }
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -38,11 +38,8 @@
 		return fault.New(fault.Cancelled, fault.NotRun, "the body did not come whole: %w", err)
 	}
 	c.body = body
-	if c.f.stopping.Load() && c.route.GetStream() && !c.route.GetResumable() {
-		// The stream might outlast the planned stop, and no other router could resume it.
-		return fault.New(fault.Shutdown, fault.NotRun, "this router stops").WithRetryAfter(shutdownRetryAfter)
-	}
-	return nil
+	now := time.Now()
+	return c.f.shutdown.admit(now, c.route, c.arrivedAt.Add(c.timeout()).Sub(now))
 }
 
 // findRoute finds the route and the client account. A newer route table may allow
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"parsleypulley/internal/routes"
@@ -80,7 +79,7 @@
 	connPool     *connPool
 	selector     *backendSelector
 	storeMonitor *storeMonitor
-	stopping     atomic.Bool
+	shutdown     *shutdownGuard
 }
 
 // New returns a Forwarder. Run must be called to keep it up to date.
@@ -88,7 +87,7 @@
 	if opts.RevokeBound <= 0 {
 		opts.RevokeBound = DefaultRevokeBound
 	}
-	return &Forwarder{opts: opts, dialect: opts.Dialect, connPool: newConnPool(), selector: newBackendSelector(opts.Domain, opts.Seed, opts.Budget, opts.WeightsBound), storeMonitor: newStoreMonitor()}
+	return &Forwarder{opts: opts, dialect: opts.Dialect, connPool: newConnPool(), selector: newBackendSelector(opts.Domain, opts.Seed, opts.Budget, opts.WeightsBound), storeMonitor: newStoreMonitor(), shutdown: newShutdownGuard()}
 }
 
 // Run applies new views and closes expired connections until ctx ends.
@@ -129,8 +128,9 @@
 }
 
 // BeginShutdown makes the forwarder close callers' connections after their next
-// response, and refuse streams that no other router could resume.
-func (f *Forwarder) BeginShutdown() { f.stopping.Store(true) }
+// response, and refuse calls that might not be complete at endsAt, when the planned stop
+// cuts them.
+func (f *Forwarder) BeginShutdown(endsAt time.Time) { f.shutdown.begin(endsAt) }
 
 // Ready returns nil if calls can be served, and otherwise an error with the
 // reason.
@@ -194,7 +194,7 @@
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &forwardedCall{f: f, w: w, r: r, arrivedAt: time.Now(), snapshot: f.opts.Views.Load()}
-	if f.stopping.Load() {
+	if f.shutdown.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	err := c.admit()
@@ -206,18 +206,11 @@
 
 // serve makes attempts until the call has a final result.
 func (c *forwardedCall) serve() error {
-	timeout := time.Duration(c.route.GetTimeoutMs()) * time.Millisecond
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if c.call.Timeout > 0 {
-		timeout = min(timeout, c.call.Timeout)
-	}
 	c.RetryState = RetryState{
 		Idempotent:  c.route.GetRepetition() == wire.Repetition_REPETITION_IDEMPOTENT,
 		Resumable:   c.route.GetResumable(),
 		MaxAttempts: max(1, int(c.route.GetAttempts())),
-		Deadline:    c.arrivedAt.Add(timeout),
+		Deadline:    c.arrivedAt.Add(c.timeout()),
 	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.Deadline)
 	defer cancel()
@@ -242,6 +235,19 @@
 	}
 }
 
+// timeout returns how long the call may take: the shorter of the caller's time limit and
+// that of the route.
+func (c *forwardedCall) timeout() time.Duration {
+	timeout := time.Duration(c.route.GetTimeoutMs()) * time.Millisecond
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if c.call.Timeout > 0 {
+		timeout = min(timeout, c.call.Timeout)
+	}
+	return timeout
+}
+
 // errAborted is returned when a response of which the caller has already received
 // a part cannot be completed.
 var errAborted = errors.New("the answer was broken off")
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -52,6 +52,7 @@
 	logEntry := c.logEntry()
 	if err == nil {
 		countCall(c.route, served)
+		c.f.shutdown.record(c.route.GetName(), time.Since(c.arrivedAt))
 		recordLatency(c.route, time.Now(), c.arrivedAt, c.firstEventDelay)
 		event.ForwardedCallServed(logEntry)
 		return
