routing: keep what routers learn across views, share engines out by slots, prefill time and late first tokens

An engine that had loaded weights or had just started had no load report, counted as idle, and drew the calls of all 64 routers (75 calls in 10 s against a median of 5). The split between short and long prompts counted an output token as 50 us, which is wrong by ten times where an engine has 12 slots. Change: pools stay the same objects; the load report survives new weights, and an engine without a report is assumed to have the typical number of requests; classes get engines by their scarcer resource (prefill time with a learnt ratio to its prediction, slots by learnt answer times), corrected by the part of late first tokens; decodeCost and shortShareFactor are gone.

forward: a router that has no route table yet asks callers to return after a second.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -49,7 +49,7 @@
 func (c *forwardedCall) findRoute() error {
 	table := c.snapshot.Routes
 	if table.Version() == 0 {
-		return fault.New(fault.Unavailable, fault.NotRun, "no route table yet")
+		return fault.New(fault.Unavailable, fault.NotRun, "no route table yet").WithRetryAfter(startRetryAfter)
 	}
 	fresh := c.f.opts.Freshness()
 	c.route = table.Match(c.r.Host, c.r.URL.Path)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -59,6 +59,11 @@
 	// shutdownRetryAfter is the Retry-After time that a stopping router returns.
 	// Callers retry at another router.
 	shutdownRetryAfter = 20 * time.Millisecond
+	// startRetryAfter is the Retry-After time of a router that has started and has no
+	// route table yet: the time in which replicas that have restarted too elect a
+	// leader and routers get its view. Callers that came back sooner would be refused
+	// again.
+	startRetryAfter = time.Second
 	// A call is refused if its predicted time to the first token exceeds a limit,
 	// since callers give up soon after it. The limit is firstTokenObjectives
 	// times the route's objective, or minFirstTokenLimit if that is longer.
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -340,8 +341,11 @@
 	is.Equal(status, 503) // the key may have been revoked
 	is.True(h.Get("Retry-After") != "")
 	empty := newFixture(t, nil)
-	status, _, _, _ = empty.call()
+	status, _, h, _ = empty.call()
 	is.Equal(status, 503)
+	retryAfter, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	is.NoErr(err)
+	is.True(retryAfter >= startRetryAfter.Seconds()) // all routers may have restarted
 	is.True(empty.f.Ready() != nil)
 }
 
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -35,7 +35,7 @@
 	// than the default, since a backend server that is not among the first of a
 	// context's rendezvous order can load the context from a store, which costs
 	// less than computing it.
-	affinityWeight = 1
+	affinityWeight = 3
 	// preferAfter is the time since this router first saw a weights version after
 	// which engines with older versions are ranked lower. It is shorter than the
 	// time after which they are no longer used, since calls wait in the engines'
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -239,10 +239,11 @@
 	if len(pr.levels) > 0 {
 		contextSeconds = float64(pr.levels[pr.contextIndex].Tokens) / float64(p.rate)
 	}
+	typical := typicalRequests(found)
 	best := &found[0]
 	for i := range found {
 		c := &found[i]
-		r.predictCost(now, p, pr, c, source)
+		r.predictCost(now, p, pr, c, source, typical)
 		c.cost += r.placementPenalty(c, homeReplicas, contextSeconds)
 		if c.server.weightsVersion < pr.preferredWeights {
 			c.cost += outdatedWeightsPenalty
@@ -254,6 +255,23 @@
 	return best
 }
 
+// typicalRequests returns the mean number of requests at the candidates whose load is
+// known.
+func typicalRequests(found []candidate) float64 {
+	total, known := 0.0, 0.0
+	for i := range found {
+		if found[i].age < maxReportAge {
+			requests, _ := found[i].server.predict(found[i].age)
+			total += requests
+			known++
+		}
+	}
+	if known == 0 {
+		return 0
+	}
+	return total / known
+}
+
 // importSource returns the candidate that most probably holds the context; nil
 // if none is likely to.
 func importSource(found []candidate) *candidate {
@@ -298,10 +316,15 @@
 // predictCost predicts the wait and the work until the first token at a
 // candidate, and sets its cost without penalties. source is the candidate to
 // import the context from; nil if there is none. It becomes the candidate's
-// source if the import saves enough time.
-func (r *Router) predictCost(now time.Time, p *pool, pr *prompt, c *candidate, source *candidate) {
+// source if the import saves enough time. An engine without an agent whose load is
+// not known is assumed to have the typical number of requests: if it counted as idle,
+// all routers would choose it until its first report.
+func (r *Router) predictCost(now time.Time, p *pool, pr *prompt, c *candidate, source *candidate, typical float64) {
 	rate := float64(p.rate) / c.server.speed.slowdown(now, p.meanSpeedRatio)
 	requests, prefill := c.server.predict(c.age)
+	if c.age >= maxReportAge && c.server.backend.Address != "" {
+		requests += typical
+	}
 	c.wait = c.server.backlog(c.age, prefill, pr.total-c.cached, rate) / rate
 	c.wait += c.server.overdue(now).Seconds()
 	if len(pr.levels) == 0 {
@@ -365,7 +388,7 @@
 		scope:          pr.scope,
 		levels:         pr.levels,
 		evidence:       c.evidence,
-		outputTokens:   req.OutputTokens,
+		objective:      req.Objective,
 		WeightsVersion: c.server.weightsVersion,
 	}
 	if c.source != nil {
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -63,12 +63,24 @@
 // observeClass takes an attempt at an engine without an agent into account for
 // the split between short and long requests.
 func (p *pool) observeClass(now time.Time, d *Decision) {
-	class := longClass
+	p.classes.observe(now, d.class(), d.Prefill.Seconds())
+	p.classes.split(p.ready.servers, false)
+}
+
+// class returns the class of the attempt's prompt.
+func (d *Decision) class() int {
 	if d.PromptTokens <= maxShortPrefill {
-		class = shortClass
+		return shortClass
+	}
+	return longClass
+}
+
+// observeLate records the time to the first token, or the time without one of an attempt
+// that has ended.
+func (d *Decision) observeLate(took time.Duration) {
+	if d.objective > 0 && d.Backend.Address != "" && len(d.levels) > 0 {
+		d.pool.classes.observeLate(d.class(), took > d.objective)
 	}
-	p.classes.observe(now, class, d.Prefill.Seconds()+decodeCost*float64(d.outputTokens))
-	p.classes.split(p.ready.servers, false)
 }
 
 // FirstToken records that the first token of the attempt's answer has arrived.
@@ -82,6 +94,8 @@
 		// The engine does not report how many tokens it had cached. The
 		// question was certainly not cached, so only its length counts.
 		d.pool.rate.observe(d.questionTokens(), d.timeToFirstToken)
+		d.observeLate(d.timeToFirstToken)
+		d.pool.classes.observeFirstToken(d.class(), d.Prefill.Seconds(), d.timeToFirstToken.Seconds())
 	}
 	r.removeFromBacklog(d)
 	d.server.breaker.succeeded()
@@ -98,6 +112,9 @@
 		return
 	}
 	d.server.breaker.succeeded()
+	if d.Backend.Address != "" && len(d.levels) > 0 {
+		d.pool.classes.observeAnswer(d.class(), (now.Sub(d.started) - d.timeToFirstToken).Seconds())
+	}
 	d.pool.meanDuration += durationWeight * (now.Sub(d.started).Seconds() - d.pool.meanDuration)
 	if end == nil {
 		return
@@ -120,6 +137,9 @@
 // that say nothing about the backend server, such as Cancelled, only end the
 // attempt.
 func (r *Router) Failed(now time.Time, d *Decision, kind fault.Kind) {
+	if d.state == attemptStarted && now.Sub(d.started) > d.objective {
+		d.observeLate(now.Sub(d.started))
+	}
 	if !r.endAttempt(d) {
 		return
 	}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -63,7 +63,11 @@
 		}
 		s := previous[m.Backend.Name]
 		if s == nil || !sameInstance(s.backend, m.Backend) {
+			before := s
 			s = r.newServer(now, m.Backend, first)
+			if before != nil && sameIncarnation(before.backend, m.Backend) {
+				s.keepLoad(before)
+			}
 		}
 		s.backend = m.Backend
 		s.weightsVersion = weightsVersionOf(m.Backend)
@@ -104,8 +108,12 @@
 // Besides the incarnations, it compares the weights of an engine without an
 // agent, which loses its cached state when it loads other weights.
 func sameInstance(a, b *wire.Backend) bool {
-	return a.AgentIncarnation == b.AgentIncarnation && a.EngineIncarnation == b.EngineIncarnation &&
-		(a.Address == "" || weightsVersionOf(a) == weightsVersionOf(b))
+	return sameIncarnation(a, b) && (a.Address == "" || weightsVersionOf(a) == weightsVersionOf(b))
+}
+
+// sameIncarnation reports whether a and b are the same run of a backend server.
+func sameIncarnation(a, b *wire.Backend) bool {
+	return a.AgentIncarnation == b.AgentIncarnation && a.EngineIncarnation == b.EngineIncarnation
 }
 
 // weightsVersionOf returns the weights version of the first model that a
@@ -122,9 +130,13 @@
 }
 
 // buildPools adds the backend servers to the pools of what they offer, in the
-// order of the view.
+// order of the view. A pool that exists already is kept with what it has learned,
+// since attempts in progress refer to it.
 func (r *Router) buildPools(members []*wire.Member) {
 	previous := r.pools
+	for _, p := range previous {
+		p.ready, p.fallback = group{}, group{}
+	}
 	r.pools = make(map[poolKey]*pool, len(previous))
 	for _, m := range members {
 		s := r.servers[m.GetBackend().GetName()]
@@ -150,9 +162,9 @@
 func (r *Router) addToPool(previous map[poolKey]*pool, key poolKey, s *server) {
 	p := r.pools[key]
 	if p == nil {
-		p = &pool{rate: defaultPrefillRate, meanSpeedRatio: 1, meanDuration: defaultMeanDuration}
-		if old := previous[key]; old != nil {
-			p.rate, p.meanSpeedRatio, p.meanDuration, p.classes = old.rate, old.meanSpeedRatio, old.meanDuration, old.classes
+		p = previous[key]
+		if p == nil {
+			p = &pool{rate: defaultPrefillRate, meanSpeedRatio: 1, meanDuration: defaultMeanDuration}
 		}
 		r.pools[key] = p
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -107,6 +107,8 @@
 	// less for a demoted request, so that it waits rather than displaces cached
 	// state of others.
 	Demotion int32
+	// Objective is the time to the first token that callers expect; 0 if unknown.
+	Objective time.Duration
 	// Tried lists the names of backend servers that must not be chosen again.
 	Tried []string
 	// PreferredWeightsVersion is the version of weights below which a backend
@@ -206,7 +208,7 @@
 	levels []*wire.PrefixLevel
 	// evidence is the evidence that the context is cached.
 	evidence         evidenceKind
-	outputTokens     uint32
+	objective        time.Duration
 	started          time.Time
 	timeToFirstToken time.Duration
 	state            attemptState
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -136,6 +136,12 @@
 	prefill float64 // tokens
 }
 
+// keepLoad takes over the load report of an earlier state of the same engine, which has
+// loaded other weights: its requests go on.
+func (s *server) keepLoad(before *server) {
+	s.report, s.reportAt, s.utilization = before.report, before.reportAt, before.utilization
+}
+
 // eligible reports whether a request may go to the backend server.
 func (s *server) eligible(now time.Time, req *Request) bool {
 	if s.breaker.open(now) || now.Before(s.pausedUntil) {
