routing: no split of engines by the length of prompts

Cause: the split kept short prompts from crowding behind long prefills, but it gave the short class engines whose cache memory lay idle (on the large site, 94,000 tokens an engine, where 2,208 contexts of 3,780 tokens compete for it), and each router drew the border elsewhere. With what routers learn kept the predicted waits do the work of the split. Change: classes, their shares, spilling between them and the expected output length are gone. Each call goes to the cheapest of all engines. At engines without an agent the backlog of long prompts counts for short ones too, since no agent runs those first.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,7 +18,7 @@
 func (c *forwardedCall) attempt() Step {
 	now := time.Now()
 	d, err := c.f.selector.selectBackend(now, c.call.Model, &routing.Request{
-		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Objective: time.Duration(c.route.GetObjectiveMs()) * time.Millisecond, Tried: c.triedBackends,
+		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: c.triedBackends,
 	}, c.firstTokenLimit())
 	if err != nil {
 		if c.AttemptCount() == 0 {
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -13,9 +13,6 @@
 	"parsleypulley/internal/wire"
 )
 
-// defaultOutputTokens is the expected output length if the caller sets no maximum.
-const defaultOutputTokens = 256
-
 // plan holds what the router derives from a request and the current view before the
 // first attempt.
 type plan struct {
@@ -100,17 +97,12 @@
 		WeightsVersion: p.weightsVersion,
 		Adapter:        p.req.Adapter,
 	}, p.req.Prompt)
-	output := uint32(defaultOutputTokens)
-	if p.req.MaxTokens > 0 {
-		output = uint32(min(p.req.MaxTokens, 1<<20))
-	}
 	p.routing = routing.Request{
 		Account:        p.account.Name,
 		Model:          model.Name,
 		WeightsVersion: p.weightsVersion,
 		Adapter:        p.req.Adapter,
 		Levels:         p.levels,
-		OutputTokens:   output,
 	}
 	p.admission = p.admissionRequest(model.Name, r.selector.expectedWork(&p.routing, p.promptTokens()))
 	return nil
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -99,10 +99,7 @@
 	}
 	pr := newPrompt(req)
 	var buf [maxCandidates]candidate
-	found := r.candidates(now, p.groupFor(&pr), pr.key(), req, buf[:0])
-	if len(found) == 0 && p.classes.shortServers > 0 {
-		found = r.candidates(now, p.ready, pr.key(), req, buf[:0])
-	}
+	found := r.candidates(now, p.ready, pr.key(), req, buf[:0])
 	if len(found) == 0 {
 		found = r.candidates(now, p.fallback, pr.key(), req, buf[:0])
 	}
@@ -111,9 +108,6 @@
 	}
 	r.predictCached(now, &pr, found)
 	best := r.cheapest(now, p, &pr, found)
-	if best.wait > minSpillWait && p.classes.shortServers > 0 && len(pr.levels) > 0 {
-		best = r.spill(now, req, p, &pr, best)
-	}
 	d := r.newDecision(req, p, &pr, best)
 	if d.Backend.Address != "" && r.settings.ImportRate > 0 {
 		d.KVSource, d.KVSourceTokens = r.directImportSource(now, p, &pr, best.server)
@@ -121,23 +115,6 @@
 	return d, nil
 }
 
-// spill returns the cheapest backend server of the other class of requests, if
-// it is cheaper by more than spillPenalty than best, the cheapest one of the
-// request's own class. Otherwise it returns best.
-func (r *Router) spill(now time.Time, req *Request, p *pool, pr *prompt, best *candidate) *candidate {
-	other := p.classes.groups[1-classOf(pr)]
-	var buf [maxCandidates]candidate
-	found := r.candidates(now, other, pr.key(), req, buf[:0])
-	if len(found) == 0 {
-		return best
-	}
-	r.predictCached(now, pr, found)
-	if next := r.cheapest(now, p, pr, found); next.cost+spillPenalty[classOf(pr)] < best.cost {
-		return next
-	}
-	return best
-}
-
 // newPrompt returns the prompt of a request. Of more than maxLevels levels the
 // shallowest are left out.
 func newPrompt(req *Request) prompt {
@@ -388,7 +365,6 @@
 		scope:          pr.scope,
 		levels:         pr.levels,
 		evidence:       c.evidence,
-		objective:      req.Objective,
 		WeightsVersion: c.server.weightsVersion,
 	}
 	if c.source != nil {
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -14,7 +14,7 @@
 	// durationWeight is the weight of one request in a pool's mean duration of
 	// requests.
 	durationWeight = 0.02
-	// meanWorkWeight is the weight of one request in the mean work of a class.
+	// meanWorkWeight is the weight of one request in the mean work of a pool.
 	meanWorkWeight = 0.1
 	// speedRatioWeight is the weight of one observation in a pool's mean speed
 	// ratio.
@@ -45,8 +45,8 @@
 	s.running++
 	s.pending.add(d.prefillTokens())
 	s.recordSent(now, d.prefillTokens())
-	if s.groupMean != nil {
-		s.groupMean.observe(d.prefillTokens())
+	if s.meanWork != nil {
+		s.meanWork.observe(d.prefillTokens())
 	}
 	s.waiting = append(s.waiting, d)
 	s.breaker.requestSent(now)
@@ -55,32 +55,6 @@
 	}
 	r.hot.add(now, d.context().Key, d.Prefill)
 	r.recordHoldings(now, d)
-	if d.Backend.Address != "" {
-		d.pool.observeClass(now, d)
-	}
-}
-
-// observeClass takes an attempt at an engine without an agent into account for
-// the split between short and long requests.
-func (p *pool) observeClass(now time.Time, d *Decision) {
-	p.classes.observe(now, d.class(), d.Prefill.Seconds())
-	p.classes.split(p.ready.servers, false)
-}
-
-// class returns the class of the attempt's prompt.
-func (d *Decision) class() int {
-	if d.PromptTokens <= maxShortPrefill {
-		return shortClass
-	}
-	return longClass
-}
-
-// observeLate records the time to the first token, or the time without one of an attempt
-// that has ended.
-func (d *Decision) observeLate(took time.Duration) {
-	if d.objective > 0 && d.Backend.Address != "" && len(d.levels) > 0 {
-		d.pool.classes.observeLate(d.class(), took > d.objective)
-	}
 }
 
 // FirstToken records that the first token of the attempt's answer has arrived.
@@ -94,8 +68,6 @@
 		// The engine does not report how many tokens it had cached. The
 		// question was certainly not cached, so only its length counts.
 		d.pool.rate.observe(d.questionTokens(), d.timeToFirstToken)
-		d.observeLate(d.timeToFirstToken)
-		d.pool.classes.observeFirstToken(d.class(), d.Prefill.Seconds(), d.timeToFirstToken.Seconds())
 	}
 	r.removeFromBacklog(d)
 	d.server.breaker.succeeded()
@@ -112,9 +84,6 @@
 		return
 	}
 	d.server.breaker.succeeded()
-	if d.Backend.Address != "" && len(d.levels) > 0 {
-		d.pool.classes.observeAnswer(d.class(), (now.Sub(d.started) - d.timeToFirstToken).Seconds())
-	}
 	d.pool.meanDuration += durationWeight * (now.Sub(d.started).Seconds() - d.pool.meanDuration)
 	if end == nil {
 		return
@@ -137,9 +106,6 @@
 // that say nothing about the backend server, such as Cancelled, only end the
 // attempt.
 func (r *Router) Failed(now time.Time, d *Decision, kind fault.Kind) {
-	if d.state == attemptStarted && now.Sub(d.started) > d.objective {
-		d.observeLate(now.Sub(d.started))
-	}
 	if !r.endAttempt(d) {
 		return
 	}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -44,9 +44,21 @@
 	// meanDuration is the moving mean of the duration of a request at a backend
 	// server, in seconds.
 	meanDuration float64
-	// classes splits the engines without an agent between short and long
-	// requests.
-	classes classes
+	// meanWork is the mean prefill work of the requests sent to the engines.
+	meanWork meanWork
+}
+
+// meanWork is the moving mean of the prefill work of requests, in tokens. With many
+// routers, each router rarely sends a request to a given engine; so all engines of a
+// pool share one mean.
+type meanWork struct{ tokens float64 }
+
+func (m *meanWork) observe(tokens float64) {
+	if m.tokens == 0 {
+		m.tokens = tokens
+		return
+	}
+	m.tokens += meanWorkWeight * (tokens - m.tokens)
 }
 
 // SetBackends replaces the backend servers by those of a view. What was learned
@@ -83,9 +95,6 @@
 		}
 	}
 	r.buildPools(members)
-	for _, p := range r.pools {
-		p.classes.split(p.ready.servers, true)
-	}
 }
 
 // newServer returns the state for a new incarnation of a backend server. If
@@ -171,6 +180,7 @@
 	switch s.state {
 	case wire.BackendState_BACKEND_STATE_READY:
 		p.ready.add(s)
+		s.meanWork = &p.meanWork
 	case wire.BackendState_BACKEND_STATE_SUSPECTED, wire.BackendState_BACKEND_STATE_DAMPED, wire.BackendState_BACKEND_STATE_LOADING:
 		p.fallback.add(s)
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -101,14 +101,10 @@
 	// Levels are the nested levels of the prompt, shallowest first; empty for a
 	// plain service.
 	Levels []*wire.PrefixLevel
-	// OutputTokens is the expected length of the answer, in tokens.
-	OutputTokens uint32
 	// Demotion is the Demotion of the request's admission.Action. The wait weighs
 	// less for a demoted request, so that it waits rather than displaces cached
 	// state of others.
 	Demotion int32
-	// Objective is the time to the first token that callers expect; 0 if unknown.
-	Objective time.Duration
 	// Tried lists the names of backend servers that must not be chosen again.
 	Tried []string
 	// PreferredWeightsVersion is the version of weights below which a backend
@@ -208,7 +204,6 @@
 	levels []*wire.PrefixLevel
 	// evidence is the evidence that the context is cached.
 	evidence         evidenceKind
-	objective        time.Duration
 	started          time.Time
 	timeToFirstToken time.Duration
 	state            attemptState
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -76,9 +76,9 @@
 	// sentNext is the index in sent of the next request.
 	sentNext int
 
-	// groupMean is the mean work of the requests at the engines of the same
-	// class; nil if the backend server belongs to no pool.
-	groupMean *meanWork
+	// meanWork is the mean work of the requests in the backend server's pool; nil if it
+	// has belonged to none.
+	meanWork *meanWork
 
 	// report is the last load report.
 	report loadReport
@@ -201,11 +201,14 @@
 // report at the given rate, but at least the work of this router's own
 // requests.
 func (s *server) backlog(age time.Duration, prefill prefillWork, tokens, rate float64) float64 {
-	own := s.pending.ahead(tokens)
+	own, reported := s.pending.ahead(tokens), prefill.ahead(tokens)
+	if s.backend.Address != "" {
+		own, reported = s.pending.all, prefill.all // no agent runs short requests first
+	}
 	if age >= maxReportAge {
 		return own
 	}
-	return max(own, prefill.ahead(tokens)-age.Seconds()*rate)
+	return max(own, reported-age.Seconds()*rate)
 }
 
 // sentAfter returns the number of requests sent after a time, and their
@@ -268,8 +271,8 @@
 		// An engine without an agent reports only how many requests wait, not
 		// their work.
 		waiting := 0.0
-		if s.groupMean != nil {
-			waiting = float64(load.Waiting) * s.groupMean.tokens
+		if s.meanWork != nil {
+			waiting = float64(load.Waiting) * s.meanWork.tokens
 		}
 		s.report.prefill = prefillWork{waiting, waiting}
 	}
