forward: contexts stay with their engine, extra retries follow a router's share of the calls

Cause of the largest price, shared parts read again: with learnt rates recomputing a context looks cheap (0.1 s), so calls left the engine that held it for small differences of predicted waits, and each copy displaced other contexts. Cause of the second: a router took a 24th of the extra retries, however many routers there are (70 on the large site). Change: affinity weight 10; the part of the extra retries is at most the router's learnt share of the calls. Test: TestRetryBudgetOfManyRouters (300 routers).

--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -13,9 +13,10 @@
 	// Window is the length of the sliding window in which calls and retries are
 	// counted.
 	Window time.Duration
-	// Routers is an upper estimate of the number of routers. Each router may use
-	// an equal part of ExtraRetries, so that routers need not exchange messages
-	// about retries.
+	// Routers is the number of routers that is assumed until a router has learnt
+	// its share of the calls. Each router uses at most an equal part of ExtraRetries,
+	// and no more than its share, so that routers need not exchange messages about
+	// retries.
 	Routers int
 }
 
@@ -53,15 +54,20 @@
 	b.calls[b.slot%budgetSlots]++
 }
 
-// tryWithdraw counts one retry and returns true if the budget allows it.
-func (b *retryBudget) tryWithdraw(now time.Time) bool {
+// tryWithdraw counts one retry and returns true if the budget allows it. share is the
+// part of all calls that passes through this router; 0 if unknown.
+func (b *retryBudget) tryWithdraw(now time.Time, share float64) bool {
 	b.advance(now)
 	calls, retries := 0, 0
 	for i := range budgetSlots {
 		calls += b.calls[i]
 		retries += b.retries[i]
 	}
-	allowed := usableRatio*b.limits.Ratio*float64(calls) + b.limits.ExtraRetries/float64(max(1, b.limits.Routers))
+	part := 1 / float64(max(1, b.limits.Routers))
+	if share > 0 {
+		part = min(part, share)
+	}
+	allowed := usableRatio*b.limits.Ratio*float64(calls) + part*b.limits.ExtraRetries
 	if float64(retries+1) > allowed {
 		return false
 	}
--- a/internal/forward/budget_test.go
+++ b/internal/forward/budget_test.go
@@ -26,7 +26,7 @@
 				calls++
 			}
 			for range 3 {
-				if b.tryWithdraw(now) {
+				if b.tryWithdraw(now, 0) {
 					retries++
 				}
 			}
@@ -37,13 +37,35 @@
 	is.True(float64(retries) >= 0.1*float64(calls)) // the budget is not needlessly small
 }
 
+// With more routers than assumed, each one's share of the calls bounds its part of the
+// extra retries. Few calls and many failures are the worst case for the sum.
+func TestRetryBudgetOfManyRouters(t *testing.T) {
+	is := is.New(t)
+	const routers, extra = 300, 180
+	limits := RetryBudgetLimits{Ratio: 0.2, ExtraRetries: extra, Window: 10 * time.Second, Routers: 24}
+	now := time.Unix(1000, 0)
+	calls, retries := 0, 0
+	for range routers {
+		b := newRetryBudget(limits)
+		for range 40 {
+			b.addCall(now)
+			calls++
+			for b.tryWithdraw(now, 1.0/routers) {
+				retries++
+			}
+		}
+	}
+	is.True(float64(retries) <= 0.2*float64(calls)+extra)
+	is.True(float64(retries) >= 0.1*float64(calls))
+}
+
 func TestRetryBudgetRefillsAfterWindow(t *testing.T) {
 	is := is.New(t)
 	b := newRetryBudget(RetryBudgetLimits{Ratio: 0.2, ExtraRetries: 16, Window: 10 * time.Second, Routers: 16})
 	now := time.Unix(1000, 0)
-	is.True(b.tryWithdraw(now))
-	is.True(!b.tryWithdraw(now))
-	is.True(!b.tryWithdraw(now.Add(8 * time.Second)))
-	is.True(b.tryWithdraw(now.Add(11 * time.Second)))
-	is.True(b.tryWithdraw(now.Add(100 * time.Second)))
+	is.True(b.tryWithdraw(now, 0))
+	is.True(!b.tryWithdraw(now, 0))
+	is.True(!b.tryWithdraw(now.Add(8*time.Second), 0))
+	is.True(b.tryWithdraw(now.Add(11*time.Second), 0))
+	is.True(b.tryWithdraw(now.Add(100*time.Second), 0))
 }
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -31,11 +31,10 @@
 	// corresponds to 35 GB/s at a third of a MB per token, the link speed in the
 	// known deployments.
 	importRate = 100_000
-	// affinityWeight is the value of routing.Settings.AffinityWeight. It is lower
-	// than the default, since a backend server that is not among the first of a
-	// context's rendezvous order can load the context from a store, which costs
-	// less than computing it.
-	affinityWeight = 3
+	// affinityWeight is the value of routing.Settings.AffinityWeight. It is higher
+	// than the default: engines report what they hold late, and a context that is read
+	// or imported by a second engine displaces another one there.
+	affinityWeight = 10
 	// preferAfter is the time since this router first saw a weights version after
 	// which engines with older versions are ranked lower. It is shorter than the
 	// time after which they are no longer used, since calls wait in the engines'
@@ -145,7 +144,7 @@
 func (sel *backendSelector) tryRetry(now time.Time, service string) bool {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
-	return sel.budgetFor(service).tryWithdraw(now)
+	return sel.budgetFor(service).tryWithdraw(now, sel.router.RequestShare())
 }
 
 func (sel *backendSelector) budgetFor(service string) *retryBudget {
--- a/internal/routing/hot.go
+++ b/internal/routing/hot.go
@@ -109,5 +109,8 @@
 	s.all += float64(all)
 }
 
-// value returns the estimated part, from 0.02 to 1.
-func (s *shareEstimate) value() float64 { return min(max(s.own/s.all, 0.02), 1) }
+// minRequestShare is the least estimate of a router's part of all requests.
+const minRequestShare = 0.002
+
+// value returns the estimated part, from minRequestShare to 1.
+func (s *shareEstimate) value() float64 { return min(max(s.own/s.all, minRequestShare), 1) }
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -153,6 +153,10 @@
 	}
 }
 
+// RequestShare returns the estimated part of all requests that passes through this
+// router.
+func (r *Router) RequestShare() float64 { return r.requestShare.value() }
+
 // prefillTokens returns the predicted prefill work of the attempt, in tokens.
 func (d *Decision) prefillTokens() float64 { return float64(d.PromptTokens - d.CachedTokens) }
 
