link: a closed link ends its reads at once, and calls are counted without a WaitGroup

The dump of front-punjab-c-1's control process showed the reader of a call spinning in yamux: after Session.Close a stream's Read loops until the receive loop has ended, and that one waited for closeTimeout, since the peer was dark and bytes were left to be sent. Change: Close sets the read deadline to now; only the write keeps closeTimeout. Test: TestClosedLinkEndsReadsAtOnce (failed before). Found by TestShutdownLosesNoResponse, once in about ten runs: "WaitGroup is reused before previous Wait has returned" in Shutdown, which would have ended a process at its planned stop.

--- a/internal/link/batch.go
+++ b/internal/link/batch.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -111,7 +112,8 @@
 }
 
 // Close makes the write loop send the pending bytes and close the connection,
-// within closeTimeout. It does not wait for that.
+// within closeTimeout. It does not wait for that. Reads end at once: until its receive
+// loop has ended, a closed yamux session leaves the readers of its streams busy-waiting.
 func (b *batchConn) Close() error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -123,5 +125,6 @@
 	if b.err != nil {
 		return b.err
 	}
-	return b.Conn.SetDeadline(time.Now().Add(closeTimeout))
+	now := time.Now()
+	return errors.Join(b.Conn.SetReadDeadline(now), b.Conn.SetWriteDeadline(now.Add(closeTimeout)))
 }
--- a/internal/link/fuzz_test.go
+++ b/internal/link/fuzz_test.go
@@ -74,6 +74,6 @@
 		clientConn.Write(data)
 		clientConn.Close()
 		<-done
-		s.calls.Wait()
+		s.awaitCalls(context.Background())
 	})
 }
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -265,6 +265,27 @@
 	})
 }
 
+// A link to a peer that takes no bytes ends its reads as soon as it is closed, while the
+// bytes that are still to be sent wait. Else the readers of its calls would busy-wait.
+func TestClosedLinkEndsReadsAtOnce(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe() // far reads nothing
+	defer far.Close()
+	b := newBatchConn(near)
+	_, err := b.Write([]byte("pending"))
+	is.NoErr(err)
+	read := make(chan error, 1)
+	go func() { _, err := b.Read(make([]byte, 1)); read <- err }()
+	time.Sleep(5 * time.Millisecond)
+	is.NoErr(b.Close())
+	select {
+	case err := <-read:
+		is.True(err != nil)
+	case <-time.After(closeTimeout / 2):
+		t.Fatal("the read goes on while the link is being closed")
+	}
+}
+
 // Callers keep sending while a server shuts down. Each call either gets its whole
 // response or is refused as not run.
 func TestShutdownLosesNoResponse(t *testing.T) {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -73,7 +73,10 @@
 	listener net.Listener
 	sessions map[*yamux.Session]struct{}
 	closed   bool
-	calls    sync.WaitGroup
+	// calls counts the running calls.
+	calls int
+	// idle is closed when calls becomes 0; nil if nothing waits for that.
+	idle chan struct{}
 }
 
 // NewServer returns a server that passes calls to handler. If tlsConfig is nil, it
@@ -133,7 +136,7 @@
 		if err != nil {
 			return
 		}
-		s.calls.Add(1)
+		s.beginCall()
 		if session.NumStreams() > s.maxCalls {
 			go s.refuseStream(stream)
 			continue
@@ -166,7 +169,7 @@
 
 // refuseStream refuses a call over the limit without reading its request.
 func (s *Server) refuseStream(stream *yamux.Stream) {
-	defer s.calls.Done()
+	defer s.endCall()
 	defer stream.Close()
 	err := fault.New(fault.Overloaded, fault.NotRun, "%d calls run on this link already", s.maxCalls)
 	_ = writeMessage(stream, &wire.Response{Error: fault.ToWire(err)})
@@ -177,7 +180,7 @@
 const requestReadTimeout = 10 * time.Second
 
 func (s *Server) serveStream(stream *yamux.Stream, role, name string) {
-	defer s.calls.Done()
+	defer s.endCall()
 	defer stream.Close()
 	br := getReader(stream)
 	stream.SetReadDeadline(time.Now().Add(requestReadTimeout))
@@ -241,14 +244,44 @@
 		s.listener.Close()
 	}
 	s.mu.Unlock()
-	done := make(chan struct{})
-	go func() { s.calls.Wait(); close(done) }()
+	s.awaitCalls(ctx)
+	s.endSessions(ctx)
+	s.Close()
+}
+
+func (s *Server) beginCall() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+}
+
+func (s *Server) endCall() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls--
+	if s.calls == 0 && s.idle != nil {
+		close(s.idle)
+		s.idle = nil
+	}
+}
+
+// awaitCalls waits until no call is running or ctx ends. Calls may begin meanwhile, which
+// a sync.WaitGroup would not allow.
+func (s *Server) awaitCalls(ctx context.Context) {
+	s.mu.Lock()
+	if s.calls == 0 {
+		s.mu.Unlock()
+		return
+	}
+	if s.idle == nil {
+		s.idle = make(chan struct{})
+	}
+	idle := s.idle
+	s.mu.Unlock()
 	select {
-	case <-done:
+	case <-idle:
 	case <-ctx.Done():
 	}
-	s.endSessions(ctx)
-	s.Close()
 }
 
 // sessionEndTimeout limits the time in which Shutdown waits for the peers of idle
