--- a/internal/routing/direct_test.go
+++ b/internal/routing/direct_test.go
@@ -25,8 +25,8 @@
 	return out
 }
 
-// directRequest returns a request to engines without an agent. context and question
-// and output are lengths in tokens.
+// directRequest returns a request to engines without an agent. context and question are
+// lengths in tokens.
 func directRequest(key uint64, context, question uint32) *Request {
 	return &Request{Service: "assessor", Account: "a", Levels: []*wire.PrefixLevel{
 		{Key: key * 0x9e3779b97f4a7c15, Tokens: context}, {Key: key*0x9e3779b97f4a7c15 + 1, Tokens: context + question}}}
