--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"slices"
 	"time"
 
 	"parsleypulley/internal/storage"
@@ -26,6 +27,32 @@
 	return r.leader != 0 && now.Sub(r.leaderHeardAt) < r.options.ElectionTimeout
 }
 
+// electionOutcome lists the voters by their replies to a vote request.
+type electionOutcome struct {
+	granted, refused, silent []uint64
+}
+
+func (o *electionOutcome) equal(other *electionOutcome) bool {
+	return other != nil && slices.Equal(o.granted, other.granted) &&
+		slices.Equal(o.refused, other.refused) && slices.Equal(o.silent, other.silent)
+}
+
+// outcome returns the replies to the current vote request.
+func (r *Replica) outcome() *electionOutcome {
+	o := &electionOutcome{}
+	for _, id := range r.set.voters() {
+		switch granted, answered := r.votes[id]; {
+		case granted:
+			o.granted = append(o.granted, id)
+		case answered:
+			o.refused = append(o.refused, id)
+		default:
+			o.silent = append(o.silent, id)
+		}
+	}
+	return o
+}
+
 func (r *Replica) becomeFollower(now time.Time, term, leader uint64) {
 	if term != r.term {
 		r.term = term
@@ -45,6 +72,9 @@
 // startPreVote asks the voters whether they would grant a vote in the next term. It
 // doesn't change the term, so a replica that can't win doesn't disrupt the leader.
 func (r *Replica) startPreVote(now time.Time) {
+	if r.role != Follower {
+		r.lostElection = r.outcome()
+	}
 	r.resetElectionTimeout(now)
 	r.leader = 0
 	r.role = Follower
@@ -87,24 +117,16 @@
 // countVotes ends a pre-vote or an election once a majority of the voters has
 // granted or refused it.
 func (r *Replica) countVotes(now time.Time) {
-	voters := r.set.voters()
-	granted, refused := 0, 0
-	for _, id := range voters {
-		vote, answered := r.votes[id]
-		switch {
-		case answered && vote:
-			granted++
-		case answered:
-			refused++
-		}
-	}
-	quorum := len(voters)/2 + 1
+	outcome := r.outcome()
+	granted, refused := len(outcome.granted), len(outcome.refused)
+	quorum := len(r.set.voters())/2 + 1
 	switch {
 	case granted >= quorum && r.role == PreCandidate:
 		r.startElection(now, false)
 	case granted >= quorum:
 		r.becomeLeader(now)
 	case refused >= quorum:
+		r.lostElection = outcome
 		r.becomeFollower(now, r.term, 0)
 	}
 }
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -78,9 +78,24 @@
 	}
 	n.replyToAppliedReads()
 	n.maybeSnapshot()
+	n.logLostElection()
 	n.publish()
 }
 
+// logLostElection logs the outcome of an election without a majority, once until it
+// changes or a leader is known.
+func (n *Node) logLostElection() {
+	o := n.replica.lostElection
+	n.replica.lostElection = nil
+	switch {
+	case n.replica.leader != 0:
+		n.loggedElection = nil
+	case o != nil && !o.equal(n.loggedElection):
+		n.loggedElection = o
+		event.NoMajority(n.self(), o.granted, o.refused, o.silent)
+	}
+}
+
 func (n *Node) step(now time.Time, b *wire.ConsensusBatch) {
 	if s := b.Sender; s != nil && s.Id != 0 {
 		n.addresses[s.Id] = s.Address
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -143,6 +143,8 @@
 	// confirmedReads are confirmed reads whose index is not yet applied.
 	confirmedReads []*readCall
 	snapshots      snapshotter
+	// loggedElection is the election outcome that was logged last, or nil.
+	loggedElection *electionOutcome
 }
 
 type proposal struct {
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -49,6 +49,9 @@
 	confirmedAt time.Time
 	// votes holds the replies to this candidate's vote requests; true is granted.
 	votes map[uint64]bool
+	// lostElection is the outcome of the newest election or pre-vote of this replica
+	// that ended without a majority, or nil.
+	lostElection *electionOutcome
 	// incoming is the snapshot that is being received, or nil.
 	incoming *incomingSnapshot
 
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -20,6 +20,14 @@
 	log.WithFields(fields).Info("role changed")
 }
 
+// NoMajority logs an election without a winner: the voters that granted their vote,
+// those that refused it, and those that did not answer.
+func NoMajority(r Replica, granted, refused, silent []uint64) {
+	fields := r.fields()
+	fields["granted"], fields["refused"], fields["silent"] = hexIDs(granted), hexIDs(refused), hexIDs(silent)
+	log.WithFields(fields).Warn("no majority of votes")
+}
+
 // ReplicaFailed logs the error that stopped a replica.
 func ReplicaFailed(r Replica, err error) {
 	log.WithFields(withError(r.fields(), err)).Error("replica failed")
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/apex/log"
 )
@@ -60,3 +61,11 @@
 }
 
 func hexID(id uint64) string { return fmt.Sprintf("%x", id) }
+
+func hexIDs(ids []uint64) string {
+	texts := make([]string, len(ids))
+	for i, id := range ids {
+		texts[i] = hexID(id)
+	}
+	return strings.Join(texts, ",")
+}
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -109,7 +109,7 @@
 	"BackendDown": event.BackendDown, "BackendUp": event.BackendUp, "DrainChanged": event.DrainChanged,
 	"ControlUnreachable": event.ControlUnreachable, "ControlReachable": event.ControlReachable, "ProbeFailed": event.ProbeFailed,
 	"CacheEventsReadFailed": event.CacheEventsReadFailed, "OrderFinished": event.OrderFinished,
-	"RoleChanged": event.RoleChanged, "ReplicaFailed": event.ReplicaFailed, "SnapshotInstalled": event.SnapshotInstalled,
+	"RoleChanged": event.RoleChanged, "NoMajority": event.NoMajority, "ReplicaFailed": event.ReplicaFailed, "SnapshotInstalled": event.SnapshotInstalled,
 	"SnapshotSaved": event.SnapshotSaved, "ReplicaWaitsForDisk": event.ReplicaWaitsForDisk, "LeadershipTransferFailed": event.LeadershipTransferFailed,
 	"LeaderTermStarted": event.LeaderTermStarted, "LeaderTermStartFailed": event.LeaderTermStartFailed, "CommandNotCommitted": event.CommandNotCommitted,
 	"BackendChanged": event.BackendChanged, "BackendChangeRefused": event.BackendChangeRefused, "BackendLeaving": event.BackendLeaving,
