--- a/internal/consensus/property_test.go
+++ b/internal/consensus/property_test.go
@@ -197,7 +197,7 @@
 	sim.faults = networkFaults{delay: simStep}
 	for _, h := range sim.hosts {
 		h.syncDelay = 0
-		if h.down {
+		if h.down && !h.gone {
 			sim.restart(h)
 		}
 		if h.busyUntil.After(sim.now) && h.ready == nil {
@@ -215,7 +215,7 @@
 	}
 	var leader *host
 	for _, h := range sim.hosts {
-		if h.replica.role == Leader {
+		if !h.gone && h.replica.role == Leader {
 			leader = h
 		}
 	}
@@ -225,7 +225,7 @@
 	}
 	for _, r := range leader.replica.set.current().Replicas {
 		for _, h := range sim.hosts {
-			if h.id == r.Id && (h.appliedCommands != len(sim.history) || h.replica.leader != leader.id) {
+			if h.id == r.Id && !h.gone && (h.appliedCommands != len(sim.history) || h.replica.leader != leader.id) {
 				sim.addViolation("replica %d applied %d of %d commands", h.id, h.appliedCommands, len(sim.history))
 			}
 		}
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -88,6 +88,8 @@
 	// there on.
 	previousSnapshot *storage.Snapshot
 	down             bool
+	// gone is set on a host that never restarts.
+	gone bool
 	// busyUntil is when the host's freeze or its current sync ends.
 	busyUntil time.Time
 	inbox     []*wire.ConsensusMessage
