consensus: voters that are gone lose their vote, and a successor takes it

Cause: whoever joined once kept its vote for ever, unless its address came back with another identity. Two control VMs gone for good and one wiped disk left three of six voters: no majority, nobody leads, and routers that restarted get no view. Class: membership that only grows, so that the number of losses that can be borne shrinks with each repair that worked. Change: the leader takes the vote of a voter that is silent for three election timeouts, as long as 2n+1 voters remain for n declared losses, promotes learners also at the limit of voters while one is silent, and removes learners that are silent for twenty. Each step adds or removes one voter.

--- a/cmd/parsleypulley/status.go
+++ b/cmd/parsleypulley/status.go
@@ -36,6 +36,7 @@
 		{"answered by", fmt.Sprintf("%s, %s in term %d", s.Node, s.Role, s.Term)},
 		{"quorum", quorum},
 		{"leader", fmt.Sprintf("%v at %s", s.Leader, s.LeaderAddress)},
+		{"losses", losses(s)},
 		{"log", fmt.Sprintf("committed %d, applied %d", s.Commit, s.Applied)},
 		{"revision", strconv.FormatUint(s.Revision, 10)},
 		{"preset in force", s.PresetInForce},
@@ -47,6 +48,18 @@
 	printReplicas(w, s)
 }
 
+// losses tells how many control replicas may be lost. Only the leader knows it.
+func losses(s *operator.Status) string {
+	if s.ID != s.Leader {
+		return fmt.Sprintf("%d declared; ask the leader how many can be borne now", s.DeclaredLosses)
+	}
+	text := fmt.Sprintf("%d can be borne now, %d declared", s.BearableLosses, s.DeclaredLosses)
+	if s.BearableLosses < s.DeclaredLosses {
+		text += ": START A SUCCESSOR"
+	}
+	return text
+}
+
 func printReplicas(w io.Writer, s *operator.Status) {
 	var lines [][]string
 	for _, r := range s.Replicas {
--- a/cmd/parsleypulleyd/control.go
+++ b/cmd/parsleypulleyd/control.go
@@ -7,17 +7,18 @@
 	"time"
 
 	"parsleypulley/internal/account"
+	"parsleypulley/internal/consensus"
 	"parsleypulley/internal/control"
 	"parsleypulley/internal/daemon"
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/node"
 	"parsleypulley/internal/operator"
-	"parsleypulley/internal/storage"
 )
 
 type controlCommand struct {
 	daemon.Settings `embed:""`
 	Data            string   `help:"Data folder." required:"" type:"path" env:"PARSLEYPULLEY_DATA"`
+	ToleratedLosses int      `help:"Number of control VMs whose loss at the same time must be borne; 0 is what the replicas in --control bear, at least 1." default:"0" env:"PARSLEYPULLEY_TOLERATED_LOSSES"`
 	Operator        string   `help:"Address for operators, ip:port." required:"" env:"PARSLEYPULLEY_OPERATOR"`
 	OperatorKeys    []string `name:"operator-key-digest" help:"Digests of the operators' keys, sha256:HEX,..." required:"" env:"PARSLEYPULLEY_OPERATOR_KEY_DIGEST"`
 }
@@ -27,6 +28,9 @@
 	if err := c.Settings.Validate(); err != nil {
 		return err
 	}
+	if c.ToleratedLosses < 0 || c.ToleratedLosses > consensus.MaxDeclaredLosses {
+		return fmt.Errorf("--tolerated-losses: %d is not between 0 and %d", c.ToleratedLosses, consensus.MaxDeclaredLosses)
+	}
 	keys, err := parseKeys(c.OperatorKeys)
 	if err != nil {
 		return err
@@ -35,7 +39,9 @@
 	if err != nil {
 		return err
 	}
-	replica, err := node.StartReplica(p, c.Data, storage.Options{}, addressesExcept(c.Control, c.Address()))
+	replica, err := node.StartReplica(p, node.ReplicaOptions{
+		Data: c.Data, Peers: addressesExcept(c.Control, c.Address()), DeclaredLosses: c.ToleratedLosses,
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -93,7 +93,7 @@
 	if !now.Before(l.nextHeartbeat) {
 		r.sendHeartbeats(now)
 	}
-	r.promoteLearner(now)
+	r.maintainReplicaSet(now)
 }
 
 // sendHeartbeats starts a new heartbeat round.
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"slices"
 	"time"
 
 	"parsleypulley/internal/event"
@@ -79,6 +80,7 @@
 	n.replyToAppliedReads()
 	n.maybeSnapshot()
 	n.logLostElection()
+	n.logReplicaChanges()
 	n.publish()
 }
 
@@ -96,6 +98,15 @@
 	}
 }
 
+// logReplicaChanges logs the changes of the replica set that this leader proposed by
+// itself.
+func (n *Node) logReplicaChanges() {
+	for _, c := range n.replica.changes {
+		event.ReplicaSetChanged(n.self(), c.change, c.replica.Id, c.replica.Address, c.silence)
+	}
+	n.replica.changes = nil
+}
+
 func (n *Node) step(now time.Time, b *wire.ConsensusBatch) {
 	if s := b.Sender; s != nil && s.Id != 0 {
 		n.addresses[s.Id] = s.Address
@@ -215,28 +226,31 @@
 	}
 }
 
-// requestJoin asks the peers to add this replica, or to update its address.
+// requestJoin asks the peers, and the replicas that this one knows, to add it or to
+// update its address.
 func (n *Node) requestJoin(now time.Time) {
 	if now.Sub(n.lastJoinRequest) < joinInterval {
 		return
 	}
 	n.lastJoinRequest = now
 	r := n.replica
-	self := r.set.find(n.id)
-	isNew := r.set.current() == nil
-	addressChanged := self != nil && self.Address != n.config.Address
-	if !isNew && !addressChanged {
-		return
-	}
-	if addressChanged && r.role == Leader {
+	if self := r.set.find(n.id); r.role == Leader && self != nil && self.Address != n.config.Address {
 		// An error means that another change is pending; the next call retries.
 		_ = r.AddLearner(now, &wire.Replica{Id: n.id, Address: n.config.Address})
 		return
 	}
+	if !r.WantsToJoin(now) {
+		return
+	}
 	m := &wire.ConsensusMessage{
 		Type: wire.ConsensusMessage_TYPE_JOIN, From: n.id, FromAddress: n.config.Address,
 	}
-	for _, address := range n.config.Peers {
+	addresses := slices.Clone(n.config.Peers)
+	for _, replica := range r.set.current().GetReplicas() {
+		addresses = append(addresses, replica.Address)
+	}
+	slices.Sort(addresses)
+	for _, address := range slices.Compact(addresses) {
 		if address != n.config.Address {
 			n.config.Transport.Send(&wire.Replica{Address: address}, []*wire.ConsensusMessage{m})
 		}
--- a/internal/consensus/members.go
+++ b/internal/consensus/members.go
@@ -124,11 +124,12 @@
 	return next
 }
 
-func withPromoted(set *wire.ReplicaSet, id uint64) *wire.ReplicaSet {
+// withLearner returns a copy of set in which the replica id is a learner or a voter.
+func withLearner(set *wire.ReplicaSet, id uint64, learner bool) *wire.ReplicaSet {
 	next := proto.Clone(set).(*wire.ReplicaSet)
 	for _, r := range next.Replicas {
 		if r.Id == id {
-			r.Learner = false
+			r.Learner = learner
 		}
 	}
 	return next
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -75,6 +75,9 @@
 
 	// The fields below, if 0, are set to the Default constants of the same name.
 
+	// DeclaredLosses is the number of VMs whose simultaneous loss the cluster must
+	// bear.
+	DeclaredLosses    int
 	ElectionTimeout   time.Duration
 	HeartbeatInterval time.Duration
 	TickInterval      time.Duration
@@ -88,6 +91,7 @@
 	setDefault(&c.TickInterval, DefaultTickInterval)
 	setDefault(&c.SnapshotEntries, DefaultSnapshotEntries)
 	setDefault(&c.SnapshotBytes, DefaultSnapshotBytes)
+	setDefault(&c.DeclaredLosses, DefaultDeclaredLosses)
 	if c.Seed == 0 {
 		c.Seed = rand.Uint64()
 	}
@@ -145,6 +149,9 @@
 	snapshots      snapshotter
 	// loggedElection is the election outcome that was logged last, or nil.
 	loggedElection *electionOutcome
+	// belowDeclared is set while this replica leads and fewer losses can be borne
+	// than declared.
+	belowDeclared bool
 }
 
 type proposal struct {
@@ -183,6 +190,7 @@
 		Random:            random,
 		ElectionTimeout:   c.ElectionTimeout,
 		HeartbeatInterval: c.HeartbeatInterval,
+		DeclaredLosses:    c.DeclaredLosses,
 	}, state)
 	if err != nil {
 		return nil, fmt.Errorf("recover replica: %w", err)
--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -37,6 +37,22 @@
 	DefaultMaxApplyBytes = 1 << 20
 	// DefaultMaxVoters is the number of voters up to which learners are promoted.
 	DefaultMaxVoters = 7
+	// DefaultDeclaredLosses is the number of VMs whose loss the cluster must bear.
+	DefaultDeclaredLosses = 1
+	// MaxDeclaredLosses is the number of VMs whose loss DefaultMaxVoters bear.
+	MaxDeclaredLosses = (DefaultMaxVoters - 1) / 2
+)
+
+// Multiples of Options.ElectionTimeout.
+const (
+	// voterSilenceTimeouts is the silence after which a voter may lose its vote.
+	voterSilenceTimeouts = 3
+	// goneTimeouts is the silence after which a replica is taken to be gone for good.
+	// It is removed if the replica set is large enough without it.
+	goneTimeouts = 20
+	// rejoinTimeouts is the time without a leader after which a replica asks to join,
+	// because it may have been removed without its knowledge.
+	rejoinTimeouts = 4
 )
 
 // Options configures a Replica. Zero fields take the defaults.
@@ -55,6 +71,9 @@
 	SnapshotChunkBytes int
 	MaxApplyBytes      int
 	MaxVoters          int
+	// DeclaredLosses is the number of VMs whose simultaneous loss the cluster must
+	// bear; see Replica.minVoters.
+	DeclaredLosses int
 }
 
 func (o Options) withDefaults() Options {
@@ -65,6 +84,7 @@
 	setDefault(&o.SnapshotChunkBytes, DefaultSnapshotChunkBytes)
 	setDefault(&o.MaxApplyBytes, DefaultMaxApplyBytes)
 	setDefault(&o.MaxVoters, DefaultMaxVoters)
+	setDefault(&o.DeclaredLosses, DefaultDeclaredLosses)
 	return o
 }
 
--- a/internal/consensus/property_test.go
+++ b/internal/consensus/property_test.go
@@ -33,6 +33,7 @@
 // that the cluster recovers.
 func runSchedule(seed uint64) *simulation {
 	sim := newSimulation(seed, 5)
+	sim.declareLosses(1 + int(seed%2))
 	sim.faults.delay = []time.Duration{simStep, 4 * simStep, simElectionTimeout}[sim.random.IntN(3)]
 	sim.faults.drop = []float64{0, 0.02, 0.2}[sim.random.IntN(3)]
 	sim.faults.duplicate = []float64{0, 0.1}[sim.random.IntN(2)]
@@ -158,8 +159,8 @@
 	}
 }
 
-// removeReplica removes a replica from the set through a leader, if that is safe. Its
-// host rejoins only after losing its disk, under a new identity.
+// removeReplica removes a replica from the set through a leader, if that is safe. It
+// joins again once it has missed the leader for some time.
 func (sim *simulation) removeReplica(removed *host) {
 	for _, h := range sim.hosts {
 		if h.down || h.ready != nil || h.replica.role != Leader || h == removed {
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -27,10 +27,25 @@
 	// one that it received messages from, is known to have been in contact with a
 	// quorum.
 	ConfirmedAt time.Time
+	// DeclaredLosses is the number of VMs whose loss must be borne, and BearableLosses
+	// the number of voters that may be lost now before there is no majority. The
+	// latter is known to the leader only.
+	DeclaredLosses, BearableLosses int
 	// Replicas is the replica set in force.
 	Replicas []*wire.Replica
 }
 
+// Voters returns the number of replicas with a vote.
+func (s Status) Voters() int {
+	voters := 0
+	for _, r := range s.Replicas {
+		if !r.Learner {
+			voters++
+		}
+	}
+	return voters
+}
+
 // ConfirmedAt returns the latest time at which the leader, which is this replica
 // or one that it received messages from, is known to have been in contact with a
 // quorum.
@@ -55,6 +70,10 @@
 		ConfirmedAt: r.ConfirmedAt(),
 		Replicas:    r.set.current().GetReplicas(),
 	}
+	s.DeclaredLosses = r.options.DeclaredLosses
+	if r.role == Leader {
+		s.BearableLosses = max(0, r.bearableLosses(now))
+	}
 	if leader := r.set.find(r.leader); leader != nil {
 		s.LeaderAddress = leader.Address
 	}
@@ -62,6 +81,19 @@
 	return s
 }
 
+// logBearableLosses logs, at the leader, when fewer losses can be borne than declared,
+// and when that ends.
+func (n *Node) logBearableLosses(s *Status) {
+	below := s.Role == Leader && s.BearableLosses < s.DeclaredLosses
+	switch {
+	case below && !n.belowDeclared:
+		event.DeclaredLossesExceedBearable(n.self(), s.BearableLosses, s.DeclaredLosses)
+	case !below && n.belowDeclared && s.Role == Leader:
+		event.DeclaredLossesBearable(n.self(), s.BearableLosses, s.DeclaredLosses)
+	}
+	n.belowDeclared = below
+}
+
 func isConfirmed(at, now time.Time, lease time.Duration) bool {
 	return !at.IsZero() && now.Sub(at) < lease
 }
@@ -79,6 +111,7 @@
 func (n *Node) publish() {
 	s := n.replica.Status(time.Now())
 	before := n.status.Swap(&s)
+	n.logBearableLosses(&s)
 	if before != nil && before.Role == s.Role && before.Term == s.Term && before.Leader == s.Leader {
 		return
 	}
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -81,6 +81,9 @@
 		PresetInForce: v.Config.Preset.Name,
 		Backends:      map[string]int{},
 		Quarantined:   len(v.Quarantine()),
+
+		DeclaredLosses: s.DeclaredLosses,
+		BearableLosses: s.BearableLosses,
 	}
 	for _, m := range v.Members() {
 		out.Backends[operator.StateName(m.State)]++
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -37,6 +37,10 @@
 	expvar.Publish("consensus_role", expvar.Func(func() any { return status().Role.String() }))
 	expvar.Publish("consensus_commit_index", expvar.Func(func() any { return status().Commit }))
 	expvar.Publish("consensus_applied_index", expvar.Func(func() any { return status().Applied }))
+	expvar.Publish("consensus_replicas", expvar.Func(func() any { return len(status().Replicas) }))
+	expvar.Publish("consensus_voters", expvar.Func(func() any { return status().Voters() }))
+	expvar.Publish("consensus_declared_losses", expvar.Func(func() any { return status().DeclaredLosses }))
+	expvar.Publish("consensus_bearable_losses", expvar.Func(func() any { return status().BearableLosses }))
 	expvar.Publish("consensus_confirmed", expvar.Func(func() any { return status().Confirmed }))
 }
 
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/apex/log"
 )
@@ -28,6 +29,25 @@
 	log.WithFields(fields).Warn("no majority of votes")
 }
 
+// ReplicaSetChanged logs that the leader promoted, demoted or removed a replica by
+// itself. silence is the time since that replica was last heard of.
+func ReplicaSetChanged(r Replica, change string, changed uint64, address string, silence time.Duration) {
+	fields := r.fields()
+	fields["change"], fields["changed"], fields["address"], fields["silent_ms"] = change, hexID(changed), address, milliseconds(silence)
+	log.WithFields(fields).Info("control replica changed")
+}
+
+// DeclaredLossesExceedBearable logs that fewer voters may be lost before there is no
+// majority than the number declared.
+func DeclaredLossesExceedBearable(r Replica, bearable, declared int) {
+	log.WithFields(r.fields()).WithFields(log.Fields{"bearable": bearable, "declared": declared}).Warn("fewer losses can be borne than declared")
+}
+
+// DeclaredLossesBearable logs that as many voters may be lost as declared again.
+func DeclaredLossesBearable(r Replica, bearable, declared int) {
+	log.WithFields(r.fields()).WithFields(log.Fields{"bearable": bearable, "declared": declared}).Info("the declared losses can be borne")
+}
+
 // ReplicaFailed logs the error that stopped a replica.
 func ReplicaFailed(r Replica, err error) {
 	log.WithFields(withError(r.fields(), err)).Error("replica failed")
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -30,6 +30,8 @@
 	Data string
 	// Storage configures the files in Data. The zero value selects the defaults.
 	Storage storage.Options
+	// DeclaredLosses is as in ReplicaOptions.
+	DeclaredLosses int
 	// Listen is the address (ip:port) for calls of operators and backend servers.
 	Listen string
 	// Bootstrap is set when the whole installation starts for the first time.
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -18,16 +18,37 @@
 	store   *storage.Store
 }
 
-// StartReplica opens the data folder and starts a replica. peers holds the link
-// addresses of the other replicas. Close must be called.
-func StartReplica(p *daemon.Process, folder string, files storage.Options, peers []string) (*Replica, error) {
-	store, damage, err := storage.OpenOrReset(folder, files)
+// ReplicaOptions configures a control replica.
+type ReplicaOptions struct {
+	// Data is the data folder.
+	Data string
+	// Storage configures the files in Data. The zero value selects the defaults.
+	Storage storage.Options
+	// Peers holds the link addresses of other replicas.
+	Peers []string
+	// DeclaredLosses is the number of control VMs whose simultaneous loss must be
+	// borne. If it is 0, it is the number that the replicas in Settings.Control bear.
+	DeclaredLosses int
+}
+
+// declaredLosses returns the number of losses that must be borne. A majority of 2n+1
+// replicas remains after n losses.
+func declaredLosses(declared, replicas int) int {
+	if declared > 0 {
+		return declared
+	}
+	return min(max(1, (replicas-1)/2), consensus.MaxDeclaredLosses)
+}
+
+// StartReplica opens the data folder and starts a replica. Close must be called.
+func StartReplica(p *daemon.Process, o ReplicaOptions) (*Replica, error) {
+	store, damage, err := storage.OpenOrReset(o.Data, o.Storage)
 	if err != nil {
 		return nil, fmt.Errorf("open data folder: %w", err)
 	}
 	p.StartReason = startReason(store.State(), damage)
 	if damage != nil {
-		event.DataFolderDamaged(folder, damage)
+		event.DataFolderDamaged(o.Data, damage)
 	}
 	machine := control.NewMachine(control.DefaultLimits())
 	address := p.Settings.Address()
@@ -36,7 +57,9 @@
 		Machine:   machine,
 		Transport: control.NewTransport(p.Context, p.Pool, &wire.Replica{Id: store.Identity(), Address: address}),
 		Address:   address,
-		Peers:     peers,
+		Peers:     o.Peers,
+
+		DeclaredLosses: declaredLosses(o.DeclaredLosses, len(p.Settings.Control)),
 	})
 	if err != nil {
 		_ = store.Close() // the start error is more informative
--- a/internal/node/replica_host.go
+++ b/internal/node/replica_host.go
@@ -72,7 +72,9 @@
 
 func (h *replicaHost) newReplica(ctx context.Context) (*servedReplica, error) {
 	settings := h.options.Settings
-	replica, err := StartReplica(h.process, h.options.Data, h.options.Storage, settings.Control)
+	replica, err := StartReplica(h.process, ReplicaOptions{
+		Data: h.options.Data, Storage: h.options.Storage, Peers: settings.Control, DeclaredLosses: h.options.DeclaredLosses,
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -76,7 +76,13 @@
 	Applied uint64 `json:"applied"`
 	// Confirmed is set if the replica had contact with a quorum within the lease.
 	// If it is not set, the status may be out of date.
-	Confirmed   bool      `json:"confirmed"`
+	Confirmed bool `json:"confirmed"`
+	// DeclaredLosses is the number of control VMs whose loss must be borne.
+	DeclaredLosses int `json:"declared_losses"`
+	// BearableLosses is the number of voters that may be lost now before there is no
+	// majority. It is 0 if this replica does not lead.
+	BearableLosses int `json:"bearable_losses"`
+	// Replicas holds the members of the replica set.
 	Replicas    []Replica `json:"replicas"`
 	ViewVersion uint64    `json:"view_version"`
 	// Revision is the revision of the configuration in force.
