--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -1,6 +1,7 @@
 package consensus
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -109,16 +110,28 @@
 
 func (n *Node) step(now time.Time, b *wire.ConsensusBatch) {
 	if s := b.Sender; s != nil && s.Id != 0 {
-		n.addresses[s.Id] = s.Address
+		n.setAddress(s.Id, s.Address)
 	}
 	for _, m := range b.Messages {
 		if m.FromAddress != "" {
-			n.addresses[m.From] = m.FromAddress
+			n.setAddress(m.From, m.FromAddress)
 		}
 		n.replica.Step(now, m)
 	}
 }
 
+// setAddress records the link address of a message sender. Beyond maxSenderAddresses
+// it forgets those of replicas outside the set: identities change with each lost disk.
+func (n *Node) setAddress(id uint64, address string) {
+	n.addresses[id] = address
+	if len(n.addresses) <= maxSenderAddresses {
+		return
+	}
+	maps.DeleteFunc(n.addresses, func(other uint64, _ string) bool {
+		return other != id && n.replica.set.find(other) == nil
+	})
+}
+
 // proposeQueued passes the queued proposals to the replica. It drops those whose
 // context has ended and refuses those above maxPendingProposals.
 func (n *Node) proposeQueued() {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -51,6 +51,8 @@
 	queueLength = 1024
 	// maxPendingProposals bounds the proposals that are not yet applied.
 	maxPendingProposals = 16 * 1024
+	// maxSenderAddresses bounds the addresses of message senders outside the set.
+	maxSenderAddresses = 64
 	// joinInterval is the time between two requests to join a cluster or to update
 	// this replica's address in it.
 	joinInterval = 250 * time.Millisecond
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -437,3 +437,17 @@
 	is.NoErr(<-read.reply)
 	is.Equal(len(n.confirmedReads), 0)
 }
+
+// The addresses of replicas that lost their disks stayed for ever.
+func TestAddressesOfFormerReplicasAreForgotten(t *testing.T) {
+	is := is.New(t)
+	r := newVoterOfThree(is, storage.HardState{Term: 1})
+	n := &Node{replica: r, addresses: map[uint64]string{}}
+	for id := range uint64(1000) {
+		n.step(time.Unix(0, 0), &wire.ConsensusBatch{Sender: &wire.Replica{Id: id + 1, Address: "10.0.0.1:7400"}})
+	}
+	is.True(len(n.addresses) <= maxSenderAddresses)
+	for _, id := range r.set.voters() {
+		is.True(n.addresses[id] != "")
+	}
+}
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"parsleypulley/internal/link"
 	"parsleypulley/internal/wire"
 )
 
@@ -16,12 +15,19 @@
 	// maxBatchMessages bounds the messages in one call.
 	maxBatchMessages = 128
 	sendTimeout      = 2 * time.Second
+	// queueIdleTimeout is the time without a message after which a queue ends.
+	queueIdleTimeout = time.Minute
 )
 
+// caller makes link calls.
+type caller interface {
+	Call(ctx context.Context, address string, req *wire.Request) (*wire.Response, error)
+}
+
 // Transport sends consensus messages over links. Each replica has its own queue and
 // goroutine, so that an unreachable replica does not delay the others.
 type Transport struct {
-	pool *link.Pool
+	pool caller
 	self *wire.Replica
 	ctx  context.Context
 
@@ -30,12 +36,14 @@
 }
 
 // NewTransport returns a transport that sends messages as self until ctx ends.
-func NewTransport(ctx context.Context, pool *link.Pool, self *wire.Replica) *Transport {
+func NewTransport(ctx context.Context, pool caller, self *wire.Replica) *Transport {
 	return &Transport{pool: pool, self: self, ctx: ctx, queues: map[string]chan *wire.ConsensusMessage{}}
 }
 
 // Send implements consensus.Transport.
 func (t *Transport) Send(to *wire.Replica, messages []*wire.ConsensusMessage) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	queue := t.queue(to.GetAddress())
 	for _, m := range messages {
 		select {
@@ -46,9 +54,9 @@
 	}
 }
 
+// queue returns the queue of the replica at address. t.mu must be held until the
+// message is in it, so that the queue doesn't end before.
 func (t *Transport) queue(address string) chan *wire.ConsensusMessage {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	queue := t.queues[address]
 	if queue == nil {
 		queue = make(chan *wire.ConsensusMessage, sendQueueLength)
@@ -63,12 +71,27 @@
 		select {
 		case <-t.ctx.Done():
 			return
+		case <-time.After(queueIdleTimeout):
+			if t.endQueue(address, queue) {
+				return
+			}
 		case first := <-queue:
 			t.deliver(address, collectBatch(first, queue))
 		}
 	}
 }
 
+// endQueue removes an empty queue and reports whether it did.
+func (t *Transport) endQueue(address string, queue chan *wire.ConsensusMessage) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(queue) > 0 {
+		return false
+	}
+	delete(t.queues, address)
+	return true
+}
+
 // collectBatch returns first and the messages that are already queued, at most
 // maxBatchMessages in total.
 func collectBatch(first *wire.ConsensusMessage, queue chan *wire.ConsensusMessage) []*wire.ConsensusMessage {
