parsleypulleyd: routers and agents take the addresses of new control replicas

Cause: the client of the control leader had the addresses of the settings only; the list that comes with each view was not passed on to it, and routers and agents did not pass the list on to those that follow them.

--- a/cmd/parsleypulleyd/agent.go
+++ b/cmd/parsleypulleyd/agent.go
@@ -42,8 +42,9 @@
 		return err
 	}
 	views := view.NewLog(view.DefaultLogLimits())
+	control := controlclient.New(p.Pool, c.Control, views.Version)
 	driver := follow.New(follow.Options{Role: view.RoleAgent, Seed: node.RandomSeed(c.Name), Log: views, Pool: p.Pool,
-		Sources: viewSources(c.Control, c.Peers, nil), SelfAddress: c.Address()})
+		Sources: viewSources(c.Control, c.Peers, nil), SelfAddress: c.Address(), OnControlChanged: control.SetAddresses})
 	a, err := agent.New(agent.Config{
 		Name:          c.Name,
 		Address:       c.Address(),
@@ -65,12 +66,13 @@
 		return err
 	}
 	daemon.PublishView(views, driver)
-	announcer := agent.NewAnnouncer(a, controlclient.New(p.Pool, c.Control, views.Version), 0)
+	announcer := agent.NewAnnouncer(a, control, 0)
 	go driver.Run(p.Context)
 	go applyViewToAgent(p.Context, a, c.Name, views)
 	go runAndLogError("agent", func() error { return a.Run(p.Context) })
 	go runAndLogError("announcer", func() error { return announcer.Run(p.Context) })
 	watchServer := follow.NewServer(views, driver.Freshness, view.MaxWatchesOther)
+	watchServer.ControlAddresses = driver.ControlAddresses
 	if err := p.Serve(agentHandler(a, node.ViewHandler(watchServer, link.RoleAgent), driver), func() error { return agentReady(a) }); err != nil {
 		return err
 	}
--- a/cmd/parsleypulleyd/router.go
+++ b/cmd/parsleypulleyd/router.go
@@ -40,6 +40,7 @@
 		return err
 	}
 	views := view.NewLog(view.DefaultLogLimits())
+	control := controlclient.New(p.Pool, c.Control, views.Version)
 	driver := follow.New(follow.Options{
 		Role:        view.RoleRouter,
 		Seed:        node.RandomSeed(c.Name),
@@ -47,6 +48,8 @@
 		Pool:        p.Pool,
 		Sources:     viewSources(c.Control, c.Peers, c.PeerAgents),
 		SelfAddress: c.Address(),
+
+		OnControlChanged: control.SetAddresses,
 	})
 	r := router.New(router.Options{
 		Name:        c.Name,
@@ -55,7 +58,7 @@
 		Seed:        node.RandomSeed(c.Name),
 		Views:       views.Store(),
 		Pool:        p.Pool,
-		Control:     controlclient.New(p.Pool, c.Control, views.Version),
+		Control:     control,
 		OnNewerView: driver.ObserveVersion,
 	})
 	r.Metrics().Publish()
@@ -63,6 +66,7 @@
 	go driver.Run(p.Context)
 	go r.Run(p.Context)
 	watchServer := follow.NewServer(views, driver.Freshness, view.MaxWatchesOther)
+	watchServer.ControlAddresses = driver.ControlAddresses
 	if err := p.Serve(node.ViewHandler(watchServer, link.RoleRouter), func() error { return viewReady(views) }); err != nil {
 		return err
 	}
--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -174,9 +174,7 @@
 		in.network = newNetwork(t, in.portOwner)
 	}
 	for i := range in.controls {
-		name := fmt.Sprint("control-", i)
-		in.addDaemon("control", name, i, "--data", filepath.Join(in.dir, name),
-			"--operator", in.addr(name+"/operator"), "--operator-key-digest", account.Digest(operatorKey).String())
+		in.addControl(i)
 	}
 	in.client = in.operator(in.operatorAddresses()...)
 	in.bootstrap(in.operatorAddresses()[0])
@@ -257,6 +255,13 @@
 	return in.startProcess(name, append(all, args...)...)
 }
 
+// addControl starts the control process with the number i.
+func (in *installation) addControl(i int, args ...string) {
+	name := fmt.Sprint("control-", i)
+	in.addDaemon("control", name, i, append([]string{"--data", filepath.Join(in.dir, name),
+		"--operator", in.addr(name + "/operator"), "--operator-key-digest", account.Digest(operatorKey).String()}, args...)...)
+}
+
 func (in *installation) addRouter(i int) *process {
 	name := fmt.Sprint("router-", i)
 	in.externalAddress(name, name+"/callers")
