dispatch: at-most-once calls credit the retry budget of their backend server

Callers saw: after 32 refused attempts at a backend server, for the life of a router, bookings got its refusals without a second attempt elsewhere. Cause: only other calls credited the balance of the backend server, at-most-once calls only withdrew from it.

--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -184,6 +184,7 @@
 func (m *OnceMachine) dispatch(record *wire.OnceRecord) {
 	m.state = dispatching
 	m.record = record
+	m.budget.CreditBackend(record.GetBackend())
 	m.emit(DispatchClaim{record})
 }
 
--- a/internal/dispatch/once_test.go
+++ b/internal/dispatch/once_test.go
@@ -209,3 +209,31 @@
 	is.True(answered > schedules) // the schedules cover responses
 	is.True(unknown > 0)          // and unknown outcomes
 }
+
+// At-most-once calls got no second attempt any more once a backend server had refused 32
+// of them, however many it had run meanwhile.
+func TestRetriesOfOnceCallsAreCreditedByCalls(t *testing.T) {
+	is := is.New(t)
+	budget := NewBudget(10)
+	now := time.Unix(1000, 0)
+	record := &wire.OnceRecord{Backend: "farmdesk-0", State: wire.OnceRecord_STATE_CLAIMED}
+	granted := Claimed{Result: &wire.OnceResult{Status: wire.OnceResult_STATUS_GRANTED, Record: record}}
+	retries, refusals := 0, 0
+	for i := range 2000 {
+		m := NewOnce(OnceRequest{Owner: "o", Deadline: now.Add(time.Minute)}, "indus", budget)
+		m.Start()
+		m.Step(now, granted)
+		if i%20 > 0 {
+			continue // this call runs
+		}
+		refusals++
+		m.Step(now, DispatchFailed{Err: fault.New(fault.BackendRefused, fault.NotRun, "full")})
+		ended := &wire.OnceRecord{Backend: "farmdesk-0", State: wire.OnceRecord_STATE_NOT_RUN}
+		for _, a := range m.Step(now, ClaimFinished{Result: &wire.OnceResult{Status: wire.OnceResult_STATUS_GRANTED, Record: ended}}) {
+			if _, ok := a.(Claim); ok {
+				retries++
+			}
+		}
+	}
+	is.Equal(retries, refusals) // one call in twenty is refused, one retry in ten calls is allowed
+}
