forward: a long response that breaks off or is an error is a failure of its backend server

Callers saw: calls went on to a backend server whose long responses (over 256 KiB) all broke off, since each counted as a success and kept its breaker closed. TestLongResponsesThatBreakOffCountAsFailures: 20 of 20 calls went there before, at most 3 now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -151,15 +151,44 @@
 	}
 	c.writeHeader(r, r.length)
 	c.writeBody(body)
-	_, err = io.Copy(c.w, r.body)
+	rest := &errorRecorder{Reader: r.body}
+	_, err = io.Copy(c.w, rest)
 	r.close(err == nil)
-	c.f.selector.finished(time.Now(), d)
+	switch now := time.Now(); {
+	case rest.err != nil && c.r.Context().Err() != nil:
+		c.f.selector.failed(now, d, fault.Cancelled)
+	case rest.err != nil && c.ctx.Err() != nil:
+		c.f.selector.failed(now, d, faultKinds[TimedOut])
+	case rest.err != nil:
+		c.f.selector.failed(now, d, faultKinds[InvalidResponse])
+	case err != nil:
+		c.f.selector.failed(now, d, fault.Cancelled)
+	case outcome == Failed:
+		c.f.selector.failed(now, d, faultKinds[Failed])
+	default:
+		c.f.selector.finished(now, d)
+	}
 	if err != nil {
 		return nil, Step{Abort: true}
 	}
 	return nil, Step{}
 }
 
+// errorRecorder records the error that ended reading, so that it can be told from an
+// error of the writer.
+type errorRecorder struct {
+	io.Reader
+	err error
+}
+
+func (r *errorRecorder) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
+}
+
 // forwardStream forwards the events of a streaming response as they arrive. The
 // result is as for runAttempt.
 func (c *forwardedCall) forwardStream(d *routing.Decision, r *response) (*failure, Step) {
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -444,3 +444,28 @@
 		is.Equal(string(body), "early")
 	}
 }
+
+// A long response that broke off counted as a success of its backend server, so that its
+// breaker stayed closed and further calls went there.
+func TestLongResponsesThatBreakOffCountAsFailures(t *testing.T) {
+	is := is.New(t)
+	const length = 2 * maxBufferedBody
+	var broken, whole atomic.Int32
+	var first atomic.Value // name of the backend server that breaks off
+	script := func(c net.Conn, r *http.Request) {
+		first.CompareAndSwap(nil, r.Header.Get("For"))
+		if first.Load() != r.Header.Get("For") {
+			whole.Add(1)
+			writeResponse(c, r, 200, "", strings.Repeat("x", length))
+			return
+		}
+		broken.Add(1)
+		fmt.Fprintf(c, "HTTP/1.1 200 X\r\nCall: %s\r\nSigned: yes\r\nContent-Length: %d\r\n\r\n%s", r.Header.Get("Call"), length, strings.Repeat("x", maxBufferedBody+1000))
+	}
+	r := newFixture(t, forwardRoute(nil), startBackend(t, script), startBackend(t, script))
+	for range 20 {
+		_, _, _, _ = r.call()
+	}
+	is.True(whole.Load() > 0)
+	is.True(broken.Load() <= 3) // the failures that open a breaker
+}
