--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -81,7 +81,7 @@
 	n.replyToAppliedReads()
 	n.maybeSnapshot()
 	n.logLostElection()
-	n.logReplicaChanges()
+	n.logMaintenance()
 	n.publish()
 }
 
@@ -99,13 +99,13 @@
 	}
 }
 
-// logReplicaChanges logs the changes of the replica set that this leader proposed by
+// logMaintenance logs the changes of the replica set that this leader proposed by
 // itself.
-func (n *Node) logReplicaChanges() {
-	for _, c := range n.replica.changes {
+func (n *Node) logMaintenance() {
+	for _, c := range n.replica.maintenance {
 		event.ReplicaSetChanged(n.self(), c.change, c.replica.Id, c.replica.Address, c.silence)
 	}
-	n.replica.changes = nil
+	n.replica.maintenance = nil
 }
 
 func (n *Node) step(now time.Time, b *wire.ConsensusBatch) {
--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -43,18 +43,6 @@
 	MaxDeclaredLosses = (DefaultMaxVoters - 1) / 2
 )
 
-// Multiples of Options.ElectionTimeout.
-const (
-	// voterSilenceTimeouts is the silence after which a voter may lose its vote.
-	voterSilenceTimeouts = 3
-	// goneTimeouts is the silence after which a replica is taken to be gone for good.
-	// It is removed if the replica set is large enough without it.
-	goneTimeouts = 20
-	// rejoinTimeouts is the time without a leader after which a replica asks to join,
-	// because it may have been removed without its knowledge.
-	rejoinTimeouts = 4
-)
-
 // Options configures a Replica. Zero fields take the defaults.
 type Options struct {
 	// ID is the replica's identity. It must not be 0.
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -62,9 +62,9 @@
 	messages          []*wire.ConsensusMessage
 	installedSnapshot *storage.Snapshot
 	reads             []Read
-	// changes are the changes of the replica set that this replica proposed by itself
-	// since Node last logged them.
-	changes []replicaChange
+	// maintenance are the changes of the replica set that this replica proposed by
+	// itself since Node last logged them.
+	maintenance []maintenanceChange
 
 	// savedHardState is the hard state that the caller has last saved.
 	savedHardState storage.HardState
