--- a/internal/consensus/maintain.go
+++ b/internal/consensus/maintain.go
@@ -10,8 +10,8 @@
 const (
 	// voterSilenceTimeouts is the silence after which a voter may lose its vote.
 	voterSilenceTimeouts = 3
-	// goneTimeouts is the silence after which a replica is taken to be gone for good.
-	// It is removed if the replica set is large enough without it.
+	// goneTimeouts is the silence after which a learner is taken to be gone for good
+	// and is removed.
 	goneTimeouts = 20
 	// rejoinTimeouts is the time without a leader after which a replica asks to join,
 	// because it may have been removed without its knowledge.
--- a/internal/router/fault_test.go
+++ b/internal/router/fault_test.go
@@ -216,7 +216,7 @@
 func TestEngineThatWantsNoCallsIsLeftAlone(t *testing.T) {
 	is := is.New(t)
 	s := newStack(t)
-	b := s.addBackend("runner-0", "", standin.Options{})
+	b := s.addBackend("engine-0", "", standin.Options{})
 	url := s.addRouter()
 	is.True(b.standin.Inject(standin.Fault{Kind: standin.FaultRefuse, Count: 1000, DurationMS: 30_000}))
 	for range 10 {
--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -14,8 +14,9 @@
 	// quietProbeDelay is the time after a request for quiet before a request may be
 	// sent nevertheless, as a probe.
 	quietProbeDelay = 500 * time.Millisecond
-	// maxQuiet limits the time for which a backend server may want no requests.
-	maxQuiet = 10 * time.Minute
+	// MaxQuiet limits the time for which a backend server may want no requests. A longer
+	// time counts as MaxQuiet.
+	MaxQuiet = 10 * time.Minute
 )
 
 // instance identifies one run of a backend server.
@@ -126,7 +127,7 @@
 		n.quietSince, n.probed = now, false
 	}
 	n.returning, n.trial = true, nil
-	if until := now.Add(min(quiet, maxQuiet)); until.After(n.quietUntil) {
+	if until := now.Add(min(quiet, MaxQuiet)); until.After(n.quietUntil) {
 		n.quietUntil = until
 	}
 	return news
