--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
 	"parsleypulley/internal/consensus"
 	"parsleypulley/internal/controlclient"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/follow"
 	"parsleypulley/internal/link"
@@ -141,6 +143,10 @@
 	if err != nil {
 		return err
 	}
+	if report := command.GetCrash(); report != nil && !report.GetCleared() {
+		event.CrashCounted(event.Crash{Request: report.GetRequestId(), Account: report.GetAccount(), Backend: report.GetBackend(),
+			Incarnation: report.GetEngineIncarnation(), Fingerprint: hex.EncodeToString(report.GetFingerprint())}, result.GetCrash().GetCrashes(), result.GetCrash().GetQuarantined())
+	}
 	return s.answer(call, &wire.Response{Body: &wire.Response_ProposeReply{ProposeReply: &wire.ProposeReply{Result: result}}})
 }
 
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -105,6 +105,25 @@
 	log.WithFields(log.Fields{"backend": backend, "incarnation": incarnation}).Info("backend server leaves")
 }
 
+// Crash describes the end of an engine that is counted against the request that it ran.
+type Crash struct {
+	// Request is the ID of the request, which is new each time the same request comes.
+	Request, Account, Backend string
+	Incarnation               uint64
+	// Fingerprint identifies the same requests of an account, in hexadecimal.
+	Fingerprint string
+}
+
+func (c Crash) fields() log.Fields {
+	return log.Fields{"request": c.Request, "account": c.Account, "backend": c.Backend, "incarnation": c.Incarnation, "fingerprint": c.Fingerprint}
+}
+
+// CrashCounted logs that the leader has counted a crash, and how many it has counted
+// against the same request.
+func CrashCounted(c Crash, crashes uint32, quarantined bool) {
+	log.WithFields(c.fields()).WithFields(log.Fields{"crashes": crashes, "quarantined": quarantined}).Info("crash counted")
+}
+
 // LoadReportsMissing logs that several consecutive requests for an engine's load
 // report have failed.
 func LoadReportsMissing(backend, address string, err error) {
