forward: a call that ends backend servers is refused after the third, at all routers

What callers saw: one call that came again and again ended one server after another; in the test the whole service was down for everybody. Cause: the path without agents had attempts as its only bound. The quarantine stood in the path with agents only. Why it works: a router whose attempt breaks off opens a connection to see whether anything listens there still; if not, the crash is counted in the replicated table, which every view carries. Three crashes without agents, since suspects can't be run apart; two with agents as before. Moved: the reporting part of router to crashreport, used by both paths.

--- a/internal/event/call.go
+++ b/internal/event/call.go
@@ -188,6 +188,12 @@
 		Info("cached state not imported")
 }
 
+// BackendEndedUnderCall logs that a backend server without an agent ended while it ran a
+// forwarded call.
+func BackendEndedUnderCall(c Crash) {
+	log.WithFields(c.fields()).Warn("backend server ended under a call")
+}
+
 // CrashReportFailed logs that the crash of an engine during a call could not be
 // reported, so that the other routers don't know of it.
 func CrashReportFailed(request string, err error) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -17,6 +17,10 @@
 // call is complete.
 func (c *forwardedCall) attempt() Step {
 	now := time.Now()
+	if c.quarantined() {
+		crashes.Add("refused", 1)
+		return c.Quarantined()
+	}
 	d, err := c.f.selector.selectBackend(now, c.call.Model, &routing.Request{
 		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: c.triedBackends,
 	}, c.firstTokenLimit())
@@ -43,6 +47,10 @@
 		c.f.selector.failed(now, d, fault.Cancelled)
 		return Step{Err: fault.New(fault.Cancelled, fault.Unknown, "the caller has left")}
 	}
+	if fail.outcome == InvalidResponse {
+		c.checkCrash(d, fail.err)
+		now = time.Now()
+	}
 	countAttempt(c.backend, fail.outcome.String())
 	c.f.selector.failed(now, d, faultKinds[fail.outcome])
 	c.outcomes = append(c.outcomes, fmt.Sprintf("%s:%s", c.backend, fail.outcome))
@@ -161,6 +169,7 @@
 		c.f.selector.failed(now, d, faultKinds[TimedOut])
 	case rest.err != nil:
 		c.f.selector.failed(now, d, faultKinds[InvalidResponse])
+		c.checkCrash(d, rest.err)
 	case err != nil:
 		c.f.selector.failed(now, d, fault.Cancelled)
 	case outcome == Failed:
--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
@@ -117,16 +118,35 @@
 		}
 		c.Close()
 	}
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	attemptLatency.connect.Record(time.Now(), time.Since(now))
+	return c, nil
+}
+
+// dial opens a new connection to address.
+func (p *connPool) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		connections.Add("failed", 1)
 		return nil, err
 	}
-	attemptLatency.connect.Record(time.Now(), time.Since(now))
 	connections.Add("opened", 1)
 	return &conn{Conn: raw, address: address, r: bufio.NewReaderSize(raw, readBuffer)}, nil
 }
 
+// staysOpen waits for d and reports whether the connection, on which nothing was sent, is
+// still open and has received nothing.
+func (c *conn) staysOpen(d time.Duration) bool {
+	if err := c.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return false
+	}
+	_, err := c.r.Peek(1)
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.SetReadDeadline(time.Time{}) == nil
+}
+
 func (p *connPool) pop(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/forward/crash_test.go
@@ -0,0 +1,237 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"parsleypulley/internal/fault"
+	"parsleypulley/internal/quarantine"
+	"parsleypulley/internal/wire"
+)
+
+// fakeControl counts crashes like the control replicas.
+type fakeControl struct {
+	mu      sync.Mutex
+	table   *quarantine.Table
+	reports []*wire.CrashReport
+	// down makes all proposals fail.
+	down bool
+}
+
+func newFakeControl() *fakeControl {
+	return &fakeControl{table: quarantine.NewTable(quarantine.DefaultLimits())}
+}
+
+func (f *fakeControl) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
+func (f *fakeControl) Propose(_ context.Context, command *wire.Command) (*wire.CommandResult, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return nil, errors.New("no leader")
+	}
+	f.reports = append(f.reports, command.GetCrash())
+	outcome := f.table.Report(0, command.GetCrash())
+	return &wire.CommandResult{Body: &wire.CommandResult_Crash{Crash: outcome.Result}}, nil
+}
+
+// counted returns the numbers of crashes reported and of requests cleared.
+func (f *fakeControl) counted() (crashes, cleared int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.reports {
+		if r.GetCleared() {
+			cleared++
+		} else {
+			crashes++
+		}
+	}
+	return crashes, cleared
+}
+
+// mortalBackend starts a backend server that ends under the first request that dies
+// accepts. It returns its address.
+func mortalBackend(t *testing.T, dies func(r *http.Request) bool) string {
+	var ln net.Listener
+	ready := make(chan struct{})
+	script := func(c net.Conn, r *http.Request) {
+		<-ready
+		if dies(r) {
+			ln.Close()
+			return
+		}
+		writeResponse(c, r, 200, "", "whole")
+	}
+	ln = listenBackend(t, script)
+	close(ready)
+	return ln.Addr().String()
+}
+
+// A call that ends every backend server is refused after three, also while control can't
+// count; the backend servers that are left serve other calls.
+func TestCallThatEndsBackendsIsQuarantined(t *testing.T) {
+	for name, down := range map[string]bool{"with control": false, "control out of reach": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var ended atomic.Int32
+			dies := func(r *http.Request) bool {
+				if r.Header.Get("Deadly") == "" {
+					return false
+				}
+				ended.Add(1)
+				return true
+			}
+			var addresses []string
+			for range 6 {
+				addresses = append(addresses, mortalBackend(t, dies))
+			}
+			r := newFixture(t, forwardRoute(nil), addresses...)
+			r.control.setDown(down)
+			var statuses []int
+			for i := range 6 {
+				status, _, _, err := r.call("Call", fmt.Sprint("c", i), "Deadly", "1")
+				is.NoErr(err)
+				statuses = append(statuses, status)
+			}
+			is.Equal(ended.Load(), int32(3))
+			refused := fault.Quarantined.Response().Status
+			is.Equal(statuses, []int{502, refused, refused, refused, refused, refused})
+			status, _, h, err := r.call("Call", "d")
+			is.NoErr(err)
+			is.Equal(status, refused) // the same call, whatever its own headers
+			is.Equal(h.Get("Content-Type"), "text/plain; charset=utf-8")
+		})
+	}
+}
+
+// A backend server that breaks off its answers but lives is not counted against calls.
+func TestBrokenResponsesOfLivingBackendsAreNotCrashes(t *testing.T) {
+	is := is.New(t)
+	cut := startBackend(t, func(c net.Conn, r *http.Request) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nSigned: yes\r\nContent-Length: 100\r\n\r\npart")
+	})
+	r := newFixture(t, forwardRoute(setAtMostOnce), cut)
+	for i := range 8 {
+		_, _, _, err := r.call("Call", fmt.Sprint("c", i))
+		is.NoErr(err)
+	}
+	crashes, _ := r.control.counted()
+	is.Equal(crashes, 0)
+}
+
+// A call that was running when a backend server ended for another reason is cleared once
+// it has completed.
+func TestCallThatCompletesIsCleared(t *testing.T) {
+	is := is.New(t)
+	var once sync.Once
+	dies := func(*http.Request) bool {
+		first := false
+		once.Do(func() { first = true })
+		return first
+	}
+	r := newFixture(t, forwardRoute(nil), mortalBackend(t, dies), mortalBackend(t, dies))
+	status, _, _, err := r.call()
+	is.NoErr(err)
+	is.Equal(status, 200)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, cleared := r.control.counted(); cleared > 0 {
+			break
+		}
+	}
+	crashes, cleared := r.control.counted()
+	is.Equal(crashes, 1)
+	is.Equal(cleared, 1)
+	is.True(r.f.crashes.idle()) // further calls need no fingerprint
+}
+
+// A process that ends may close its listener a little after its connections.
+func TestListenerThatClosesLate(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	go func() {
+		if c, err := ln.Accept(); err == nil {
+			ln.Close()
+			c.Close()
+		}
+	}()
+	r := newFixture(t, nil)
+	is.True(r.f.backendEnded(context.Background(), ln.Addr().String(), time.Second))
+	living, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer living.Close()
+	is.True(!r.f.backendEnded(context.Background(), living.Addr().String(), time.Millisecond))
+}
+
+func TestSuspects(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	s := suspects{}
+	key := quarantine.Key{Account: "a", Fingerprint: "f"}
+	is.Equal(s.add(now, key, "b1/1"), 1)
+	is.Equal(s.add(now, key, "b1/1"), 1) // one crash, seen by two attempts
+	is.Equal(s.add(now, key, "b1/2"), 2)
+	is.Equal(s.add(now, quarantine.Key{Account: "b", Fingerprint: "f"}, "b1/1"), 1)
+	is.True(s.remove(key))
+	is.True(!s.remove(key))
+	s.expire(now.Add(quarantine.DefaultLimits().CrashTTL - 1))
+	is.Equal(len(s), 1)
+	s.expire(now.Add(quarantine.DefaultLimits().CrashTTL))
+	is.Equal(len(s), 0)
+	for i := range maxSuspects + 10 {
+		s.add(now, quarantine.Key{Fingerprint: fmt.Sprint(i)}, "b1/1")
+	}
+	is.Equal(len(s), maxSuspects)
+}
+
+// A quarantined call is refused as not run only if no attempt can have run.
+func TestQuarantinedStep(t *testing.T) {
+	is := is.New(t)
+	s := RetryState{Idempotent: true, MaxAttempts: 2, Deadline: time.Unix(1000, 0)}
+	is.Equal(s.Quarantined().Err.Outcome, fault.NotRun)
+	s.RecordAttempt()
+	s.Next(time.Unix(900, 0), Refused, func() bool { return true })
+	is.Equal(s.Quarantined().Err.Outcome, fault.NotRun)
+	s.RecordAttempt()
+	s.Next(time.Unix(900, 0), InvalidResponse, func() bool { return true })
+	is.Equal(s.Quarantined().Err.Outcome, fault.Unknown)
+	s.RecordDelivery()
+	is.True(s.Quarantined().Abort)
+}
+
+// A router that knows a quarantine by the view alone refuses the call.
+func TestQuarantineOfTheViewIsKept(t *testing.T) {
+	is := is.New(t)
+	var arrived atomic.Bool
+	r := newFixture(t, forwardRoute(nil), startBackend(t, func(c net.Conn, r *http.Request) {
+		arrived.Store(true)
+		writeResponse(c, r, 200, "", "whole")
+	}))
+	c := &forwardedCall{r: &http.Request{Method: http.MethodPost, Host: "one.example", URL: &url.URL{Path: "/p/x"}}, account: &wire.Account{Name: "indus"}, body: []byte("body")}
+	key := c.quarantineKey()
+	r.appendEvent(&wire.ViewEvent{Body: &wire.ViewEvent_Quarantine{Quarantine: &wire.QuarantineEntry{Account: key.Account, Fingerprint: []byte(key.Fingerprint), Crashes: 3}}})
+	is.True(!r.f.crashes.idle())
+	status, _, _, err := r.call()
+	is.NoErr(err)
+	is.Equal(status, fault.Quarantined.Response().Status)
+	is.True(!arrived.Load())
+	r.appendEvent(&wire.ViewEvent{Body: &wire.ViewEvent_Quarantine{Quarantine: &wire.QuarantineEntry{Account: key.Account, Fingerprint: []byte(key.Fingerprint)}}})
+	status, _, _, err = r.call()
+	is.NoErr(err)
+	is.Equal(status, 200)
+}
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"parsleypulley/internal/fault"
 	"parsleypulley/internal/wire"
 )
 
@@ -111,4 +112,7 @@
 	PrepareAttempt(h http.Header, a *Attempt)
 	// ReadResponse reads the status and the headers of a response.
 	ReadResponse(status int, h http.Header) ResponseInfo
+	// ErrorStatus returns the status of the response to a call that ends with an error of
+	// the given kind.
+	ErrorStatus(kind fault.Kind) int
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"parsleypulley/internal/crashreport"
 	"parsleypulley/internal/routes"
 	"parsleypulley/internal/routing"
 	"parsleypulley/internal/view"
@@ -32,6 +33,8 @@
 	Dialect Dialect
 	// Budget limits retries.
 	Budget RetryBudgetLimits
+	// Control takes the reports of backend servers that end under a call.
+	Control crashreport.Proposer
 	// RevokeBound limits the age of the last confirmation of the view. Calls that
 	// need an API key are refused once the age reaches it, since the key may have
 	// been revoked. 0 selects DefaultRevokeBound.
@@ -85,6 +88,7 @@
 	selector     *backendSelector
 	storeMonitor *storeMonitor
 	shutdown     *shutdownGuard
+	crashes      *crashGuard
 	// invalidNotices limits log lines; see recordNotices.
 	invalidNotices invalidNoticeLimiter
 }
@@ -94,7 +98,8 @@
 	if opts.RevokeBound <= 0 {
 		opts.RevokeBound = DefaultRevokeBound
 	}
-	return &Forwarder{opts: opts, dialect: opts.Dialect, connPool: newConnPool(), selector: newBackendSelector(opts.Domain, opts.Seed, opts.Budget, opts.WeightsBound), storeMonitor: newStoreMonitor(), shutdown: newShutdownGuard()}
+	return &Forwarder{opts: opts, dialect: opts.Dialect, connPool: newConnPool(), selector: newBackendSelector(opts.Domain, opts.Seed, opts.Budget, opts.WeightsBound), storeMonitor: newStoreMonitor(), shutdown: newShutdownGuard(),
+		crashes: newCrashGuard(crashreport.New(opts.Control, opts.Views))}
 }
 
 // Run applies new views and closes expired connections until ctx ends.
@@ -114,6 +119,7 @@
 		case <-changed:
 		case now := <-ticker.C:
 			f.connPool.sweep(now, backendAddresses(s))
+			f.crashes.expire(now)
 			viewLogger.setFreshness(s, f.opts.Freshness())
 		}
 	}
@@ -176,6 +182,8 @@
 	promptLevels []*wire.PrefixLevel
 	RetryState
 
+	// fingerprint identifies the same calls of the account; nil until it is needed.
+	fingerprint []byte
 	// header holds the caller's end-to-end headers.
 	header http.Header
 	// triedBackends are the names of the backend servers tried.
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"parsleypulley/internal/fault"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -50,12 +51,15 @@
 	return info
 }
 
+func (testDialect) ErrorStatus(kind fault.Kind) int { return kind.Response().Status }
+
 // fixture is a forwarder in front of backend servers that a test scripts.
 type fixture struct {
 	t         *testing.T
 	f         *Forwarder
 	log       *view.Log
 	server    *httptest.Server
+	control   *fakeControl
 	freshness atomic.Pointer[view.Freshness]
 	// version is the version of the newest event in log.
 	version uint64
@@ -86,6 +90,11 @@
 // returns its address. It closes the connection after each request, unless the
 // request has the header Stay.
 func startBackend(t *testing.T, script backendScript) string {
+	return listenBackend(t, script).Addr().String()
+}
+
+// listenBackend does the same and returns the listener.
+func listenBackend(t *testing.T, script backendScript) net.Listener {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -114,14 +123,14 @@
 			}()
 		}
 	}()
-	return ln.Addr().String()
+	return ln
 }
 
 func newFixture(t *testing.T, route *wire.ForwardRoute, backends ...string) *fixture {
-	r := &fixture{t: t, log: view.NewLog(view.DefaultLogLimits())}
+	r := &fixture{t: t, log: view.NewLog(view.DefaultLogLimits()), control: newFakeControl()}
 	r.freshness.Store(&view.Freshness{Confirmed: true})
 	r.f = New(Options{Domain: "a", Seed: 1, Views: r.log.Store(), Freshness: func() view.Freshness { return *r.freshness.Load() },
-		Dialect: testDialect{}, Budget: DefaultRetryBudgetLimits()})
+		Dialect: testDialect{}, Budget: DefaultRetryBudgetLimits(), Control: r.control})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	for i, address := range backends {
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -51,6 +51,9 @@
 func (c *forwardedCall) finish(err error) {
 	logEntry := c.logEntry()
 	if err == nil {
+		if !c.f.crashes.idle() {
+			c.f.crashes.completed(c.quarantineKey(), logEntry.Request)
+		}
 		countCall(c.route, served)
 		c.f.shutdown.record(c.route.GetName(), time.Since(c.arrivedAt))
 		recordLatency(c.route, time.Now(), c.arrivedAt, c.firstEventDelay)
@@ -86,7 +89,7 @@
 // writeError writes the response to a call that failed. A status that callers
 // understand as "not executed" is used only if no attempt can have run.
 func (c *forwardedCall) writeError(e *fault.Error) {
-	status := e.Kind.Response().Status
+	status := c.f.dialect.ErrorStatus(e.Kind)
 	if e.Outcome != fault.NotRun && impliesNotExecuted(status) {
 		status = http.StatusBadGateway
 	}
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -131,6 +131,18 @@
 // NoBackend returns the step that follows when no backend server is left to try.
 func (s *RetryState) NoBackend(now time.Time) Step { return s.giveUp(now, Unsent) }
 
+// Quarantined returns the step that follows when the call must not be sent to any backend
+// server.
+func (s *RetryState) Quarantined() Step {
+	switch {
+	case s.delivered:
+		return Step{Abort: true}
+	case s.possibleExecutions > 0:
+		return Step{Err: quarantineError(fault.Unknown)}
+	}
+	return Step{Err: quarantineError(fault.NotRun)}
+}
+
 // canSend reports whether another attempt may follow one that was not executed.
 func (s *RetryState) canSend(now time.Time) bool {
 	return s.attempts < s.MaxAttempts+extraAttempts && s.Deadline.Sub(now) >= minAttemptTime
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"parsleypulley/internal/backoff"
+	"parsleypulley/internal/controlclient"
 	"parsleypulley/internal/daemon"
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
@@ -64,15 +65,17 @@
 		return err
 	}
 	views := view.NewLog(view.DefaultLogLimits())
+	control := controlclient.New(p.Pool, o.Settings.Control, views.Version)
 	var forwarder *forward.Forwarder
 	driver := follow.New(follow.Options{
 		Role: view.RoleRouter, Seed: RandomSeed(o.Settings.Name), Log: views, Pool: p.Pool,
 		Sources: controlSources(o.Settings.Control, ""), SelfAddress: o.Settings.Address(),
-		OnLoads: func(digest *wire.LoadDigest) { forwarder.ApplyLoads(digest) },
+		OnControlChanged: control.SetAddresses,
+		OnLoads:          func(digest *wire.LoadDigest) { forwarder.ApplyLoads(digest) },
 	})
 	forwarder = forward.New(forward.Options{
 		Domain: o.Settings.Domain, Seed: RandomSeed(o.Settings.Name), Views: views.Store(), Freshness: driver.Freshness, SourceAddress: driver.SourceAddress,
-		Dialect: o.Dialect, Budget: o.Budget, RevokeBound: o.RevokeBound, WeightsBound: o.WeightsBound,
+		Dialect: o.Dialect, Control: control, Budget: o.Budget, RevokeBound: o.RevokeBound, WeightsBound: o.WeightsBound,
 	})
 	daemon.PublishView(views, driver)
 	go driver.Run(p.Context)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,8 +1,10 @@
 // Package quarantine counts the engine crashes during the attempts of a request and
-// quarantines the request after CrashLimit crashes.
+// quarantines the request after CrashLimit crashes, or SharedCrashLimit crashes if it
+// could not be run apart from others.
 package quarantine
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"slices"
 	"strings"
@@ -12,8 +14,41 @@
 )
 
 // CrashLimit is the number of distinct crashes after which a request is quarantined.
+// An agent runs requests that are suspected apart, so that the second crash proves which
+// one caused it.
 const CrashLimit = 2
 
+// SharedCrashLimit takes the place of CrashLimit for requests of backend servers without an
+// agent, where others run beside a suspect: an innocent request may be there when a second
+// engine crashes under the one that causes it.
+const SharedCrashLimit = 3
+
+// sharedMark precedes the fingerprint of a request that can't be run apart.
+const sharedMark = 's'
+
+// SharedFingerprint marks a fingerprint as that of a request that can't be run apart from
+// others.
+func SharedFingerprint(fingerprint [sha256.Size]byte) []byte {
+	return append([]byte{sharedMark}, fingerprint[:]...)
+}
+
+// crashLimit returns the number of distinct crashes after which requests with the
+// fingerprint are quarantined.
+func crashLimit(fingerprint []byte) uint32 {
+	if len(fingerprint) == sha256.Size+1 && fingerprint[0] == sharedMark {
+		return SharedCrashLimit
+	}
+	return CrashLimit
+}
+
+func isQuarantined(entry *wire.QuarantineEntry) bool {
+	return entry.GetCrashes() >= crashLimit(entry.GetFingerprint())
+}
+
+// PublicAccount stands for the account of requests that come without one. Fingerprints keep
+// them apart from those of an account with that name.
+const PublicAccount = "(public)"
+
 // Limits are the limits of a table. DefaultLimits returns the defaults.
 type Limits struct {
 	// CrashTTL is how long a crash count is kept after the last crash.
@@ -91,7 +126,7 @@
 	if report.GetCleared() {
 		return t.clear(key, events)
 	}
-	if old != nil && (old.GetCrashes() >= CrashLimit || slices.Contains(old.GetCrashIds(), crash)) {
+	if old != nil && (isQuarantined(old) || slices.Contains(old.GetCrashIds(), crash)) {
 		return Outcome{Result: resultOf(old), Events: events}
 	}
 	if old == nil {
@@ -106,7 +141,7 @@
 		CrashIds:    append(slices.Clone(old.GetCrashIds()), crash),
 	}
 	t.entries[key] = entry
-	if entry.GetCrashes() >= CrashLimit {
+	if isQuarantined(entry) {
 		events = append(events, entry)
 	}
 	return Outcome{Result: resultOf(entry), Events: events}
@@ -116,7 +151,7 @@
 // quarantine.
 func (t *Table) clear(key Key, events []*wire.QuarantineEntry) Outcome {
 	entry := t.entries[key]
-	if entry == nil || entry.GetCrashes() >= CrashLimit {
+	if entry == nil || isQuarantined(entry) {
 		return Outcome{Result: resultOf(entry), Events: events}
 	}
 	return Outcome{Result: &wire.CrashResult{}, Events: t.drop(key, events)}
@@ -135,7 +170,7 @@
 
 func (t *Table) expired(nowMS int64, entry *wire.QuarantineEntry) bool {
 	ttl := t.limits.CrashTTL
-	if entry.GetCrashes() >= CrashLimit {
+	if isQuarantined(entry) {
 		ttl = t.limits.QuarantineTTL
 	}
 	return nowMS-entry.GetSinceMs() >= ttl.Milliseconds()
@@ -180,7 +215,7 @@
 }
 
 func evictBefore(a, b *wire.QuarantineEntry) bool {
-	aQuarantined, bQuarantined := a.GetCrashes() >= CrashLimit, b.GetCrashes() >= CrashLimit
+	aQuarantined, bQuarantined := isQuarantined(a), isQuarantined(b)
 	if aQuarantined != bQuarantined {
 		return bQuarantined
 	}
@@ -199,7 +234,7 @@
 	if t.perAccount[key.Account] == 0 {
 		delete(t.perAccount, key.Account)
 	}
-	if entry.GetCrashes() < CrashLimit {
+	if !isQuarantined(entry) {
 		return events
 	}
 	return append(events, &wire.QuarantineEntry{Account: key.Account, Fingerprint: []byte(key.Fingerprint)})
@@ -247,6 +282,6 @@
 func resultOf(entry *wire.QuarantineEntry) *wire.CrashResult {
 	return &wire.CrashResult{
 		Crashes:     entry.GetCrashes(),
-		Quarantined: entry.GetCrashes() >= CrashLimit,
+		Quarantined: entry != nil && isQuarantined(entry),
 	}
 }
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"testing"
 
@@ -69,6 +70,30 @@
 	}
 }
 
+// A request that runs beside others is quarantined after three crashes: innocent ones may
+// be there when two engines end.
+func TestSharedFingerprints(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(DefaultLimits())
+	shared := string(SharedFingerprint(sha256.Sum256([]byte("f"))))
+	var last Outcome
+	for i, want := range []uint32{1, 2, 3, 3} {
+		last = table.Report(0, newReport("a", shared, fmt.Sprint("b", i), 1))
+		is.Equal(last.Result.GetCrashes(), want)
+		is.Equal(last.Result.GetQuarantined(), want == SharedCrashLimit)
+		is.Equal(len(last.Events) == 1, i == 2) // told once
+	}
+	is.Equal(table.Report(0, clearedReport("a", shared)).Result.GetQuarantined(), true) // stays so
+
+	innocent := string(SharedFingerprint(sha256.Sum256([]byte("g"))))
+	for i := range 6 {
+		is.True(!table.Report(0, newReport("a", innocent, fmt.Sprint("b", i), 1)).Result.GetQuarantined())
+		if i%2 == 1 {
+			table.Report(0, clearedReport("a", innocent)) // completed elsewhere
+		}
+	}
+}
+
 func TestExpiry(t *testing.T) {
 	limits := DefaultLimits()
 	crashTTL, quarantineTTL := limits.CrashTTL.Milliseconds(), limits.QuarantineTTL.Milliseconds()
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -37,7 +37,7 @@
 	if l.Attempt > 1 {
 		c.router.metrics.Retries.Add(1)
 	}
-	if c.router.isQuarantined(c.plan) {
+	if c.router.crashes.Quarantined(c.plan.quarantineKey()) {
 		go c.post(dispatch.Failed{Attempt: l.Attempt, Err: quarantineError()})
 		return
 	}
--- a/internal/router/plan.go
+++ b/internal/router/plan.go
@@ -1,8 +1,6 @@
 package router
 
 import (
-	"time"
-
 	"parsleypulley/internal/admission"
 	"parsleypulley/internal/config"
 	"parsleypulley/internal/fault"
@@ -43,7 +41,7 @@
 	p := &plan{req: req, view: s, account: a, limits: s.Config.AccountLimits(a)}
 	p.priority = p.limits.Priority
 	p.fingerprint = prefix.Fingerprint(a.Name, req.Model+"\x00"+req.Service+"\x00"+req.Path, req.Body)
-	if r.isQuarantined(p) {
+	if r.crashes.Quarantined(p.quarantineKey()) {
 		return nil, quarantineError()
 	}
 	if req.Service != "" {
@@ -53,29 +51,6 @@
 	return p, r.planModel(p)
 }
 
-// recentQuarantineTTL is how long a router keeps a quarantine that its own crash
-// report caused. It covers the time until the view contains the quarantine.
-const recentQuarantineTTL = 10 * time.Second
-
-func (p *plan) quarantineKey() string { return p.account.Name + "\x00" + string(p.fingerprint[:]) }
-
-// addRecentQuarantine makes a quarantine effective at once, since the caller may send
-// the request again before the view contains the quarantine.
-func (r *Router) addRecentQuarantine(p *plan) {
-	key := p.quarantineKey()
-	r.recentQuarantines.Store(key, struct{}{})
-	time.AfterFunc(recentQuarantineTTL, func() { r.recentQuarantines.Delete(key) })
-}
-
-// isQuarantined reports whether p's request is quarantined. It is checked before each
-// attempt, since the same request may also crash engines through other routers.
-func (r *Router) isQuarantined(p *plan) bool {
-	if _, ok := r.recentQuarantines.Load(p.quarantineKey()); ok {
-		return true
-	}
-	return r.opts.Views.Load().Quarantined(p.account.Name, p.fingerprint[:])
-}
-
 func quarantineError() *fault.Error {
 	return fault.New(fault.Quarantined, fault.NotRun, "this request is refused: it crashed the engines that ran it")
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -14,6 +14,7 @@
 
 	"parsleypulley/internal/admission"
 	"parsleypulley/internal/controlclient"
+	"parsleypulley/internal/crashreport"
 	"parsleypulley/internal/dispatch"
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
@@ -54,13 +55,10 @@
 	selector *backendSelector
 	budget   *dispatch.Budget
 	metrics  *Metrics
+	crashes  *crashreport.Reporter
 	// versions holds the weights version that requests for each model run on.
 	versions atomic.Pointer[versions]
 
-	// recentQuarantines holds the keys of quarantined requests that the view may
-	// not contain yet.
-	recentQuarantines sync.Map
-
 	// lastOwnerID is the number in the newest owner name of an at-most-once call.
 	lastOwnerID atomic.Uint64
 	// mu guards calls and the closing of ready.
@@ -79,6 +77,7 @@
 		selector: newBackendSelector(opts.Domain, opts.Seed),
 		budget:   dispatch.NewBudget(0),
 		metrics:  &Metrics{},
+		crashes:  crashreport.New(opts.Control, opts.Views),
 		calls:    map[*call]struct{}{},
 		ready:    make(chan struct{}),
 	}
