--- a/Makefile
+++ b/Makefile
@@ -17,10 +17,10 @@
 	$(GO) vet $(PACKAGES)
 	$(GO) tool staticcheck $(PACKAGES)
 
-# Regenerates the Go code of internal/wire. Needs protoc; a build does not.
+# Regenerates the Go code of internal/wire.
 generate:
 	$(GO) build -o bin/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
-	protoc --plugin=bin/protoc-gen-go --go_out=. --go_opt=module=parsleypulley internal/wire/*.proto
+	$(GO) run ./scripts/genproto bin/protoc-gen-go parsleypulley internal/wire/*.proto
 
 # Starts an installation on loopback, sends requests through it and stops it.
 quickstart:
