forward: the freshness of the view is read before the view

What callers saw: a request with a key that had been taken away ran, seconds after the bound (record of real processes; any VM, paused or not). Cause: a call loaded its view first and asked for the freshness later. A router stopped in between went on with the old view and the confirmation of the new one. TestKeyRevokedWhileRouterStandsStill: 200 before, 401 after. Why it works: the view that is loaded after the confirmation was read is at least the one that was confirmed.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -51,7 +51,7 @@
 	if table.Version() == 0 {
 		return fault.New(fault.Unavailable, fault.NotRun, "no route table yet").WithRetryAfter(startRetryAfter)
 	}
-	fresh := c.f.opts.Freshness()
+	fresh := c.freshness
 	c.route = table.Match(c.r.Host, c.r.URL.Path)
 	if c.route == nil {
 		if !fresh.Confirmed {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -166,9 +166,11 @@
 	ctx       context.Context
 	arrivedAt time.Time
 
-	// snapshot is the view that the whole call is served from.
-	snapshot *view.Snapshot
-	route    *wire.ForwardRoute
+	// snapshot is the view that the whole call is served from, and freshness its
+	// confirmation.
+	snapshot  *view.Snapshot
+	freshness view.Freshness
+	route     *wire.ForwardRoute
 	// account is the client account, or nil if the route needs no API key.
 	account *wire.Account
 	call    *Call
@@ -208,7 +210,8 @@
 
 // ServeHTTP implements http.Handler.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &forwardedCall{f: f, w: w, r: r, arrivedAt: time.Now(), snapshot: f.opts.Views.Load()}
+	c := &forwardedCall{f: f, w: w, r: r, arrivedAt: time.Now(), freshness: f.opts.Freshness()}
+	c.snapshot = f.opts.Views.Load() // after freshness, so that it is at least as new as the view that was confirmed
 	if f.shutdown.stopping() {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/view"
@@ -55,12 +56,14 @@
 
 // fixture is a forwarder in front of backend servers that a test scripts.
 type fixture struct {
-	t         *testing.T
-	f         *Forwarder
-	log       *view.Log
-	server    *httptest.Server
-	control   *fakeControl
-	freshness atomic.Pointer[view.Freshness]
+	t       *testing.T
+	f       *Forwarder
+	log     *view.Log
+	server  *httptest.Server
+	control *fakeControl
+	// onFreshness is called, once, when the forwarder reads the freshness.
+	onFreshness atomic.Pointer[func()]
+	freshness   atomic.Pointer[view.Freshness]
 	// version is the version of the newest event in log.
 	version uint64
 }
@@ -129,7 +132,7 @@
 func newFixture(t *testing.T, route *wire.ForwardRoute, backends ...string) *fixture {
 	r := &fixture{t: t, log: view.NewLog(view.DefaultLogLimits()), control: newFakeControl()}
 	r.freshness.Store(&view.Freshness{Confirmed: true})
-	r.f = New(Options{Domain: "a", Seed: 1, Views: r.log.Store(), Freshness: func() view.Freshness { return *r.freshness.Load() },
+	r.f = New(Options{Domain: "a", Seed: 1, Views: r.log.Store(), Freshness: r.readFreshness,
 		Dialect: testDialect{}, Budget: DefaultRetryBudgetLimits(), Control: r.control})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -147,6 +150,13 @@
 	return r
 }
 
+func (r *fixture) readFreshness() view.Freshness {
+	if f := r.onFreshness.Swap(nil); f != nil {
+		(*f)()
+	}
+	return *r.freshness.Load()
+}
+
 func (r *fixture) appendEvent(e *wire.ViewEvent) {
 	r.version++
 	e.Version = r.version
@@ -478,3 +488,25 @@
 	is.True(whole.Load() > 0)
 	is.True(broken.Load() <= 3) // the failures that open a breaker
 }
+
+// A router that stood still between reading its view and asking how fresh that is served a
+// call by the old view, on the strength of the new one's confirmation.
+func TestKeyRevokedWhileRouterStandsStill(t *testing.T) {
+	is := is.New(t)
+	var arrived atomic.Int32
+	r := newFixture(t, forwardRoute(nil), startBackend(t, func(c net.Conn, r *http.Request) {
+		arrived.Add(1)
+		writeResponse(c, r, 200, "", "whole")
+	}))
+	revoke := func() {
+		table := proto.CloneOf(r.log.Snapshot().Routes.Table)
+		table.Version++
+		table.Accounts[0].KeySha256 = nil
+		r.appendEvent(&wire.ViewEvent{Body: &wire.ViewEvent_RouteTable{RouteTable: table}})
+	}
+	r.onFreshness.Store(&revoke)
+	status, _, _, err := r.call()
+	is.NoErr(err)
+	is.Equal(status, http.StatusUnauthorized)
+	is.Equal(arrived.Load(), int32(0))
+}
