view: a confirmation is as old as its sender's clock says

Cause: updates of the view counted from their arrival. What waited in a socket while a process stood still, or behind a silent link, confirmed the old view as of now, once for each source on the way: 4 s (80% of the bound) and up to 1.1 s for each source are more than the 5 s after which no revoked key may run. Evidence: the simulated network now holds messages of paused processes and checks after each message that a confirmed view has all that was committed before the confirmation; TestConfirmationsThatWaitedKeepTheirAge failed in all 12 cases, TestConfirmationsUnderRandomPauses on its first seeds; both pass (20 seeds), and so does the check in all other tests there. Why it works: the first update of a call was made after the call began; the sender's clock tells how much later another one was made. Watches are opened anew once a minute, as clocks drift. An update of a process of an earlier version has no reading and counts from its arrival as before.

--- a/internal/follow/server.go
+++ b/internal/follow/server.go
@@ -44,6 +44,18 @@
 	return &Server{log: log, freshness: freshness, maxWatches: maxWatches, closed: make(chan struct{})}
 }
 
+// clockOrigin is the origin of the clock that updates carry.
+var clockOrigin = time.Now()
+
+// stampedFreshness returns the freshness with a reading of the clock from before it, so
+// that a pause of this process in between makes the view look older, not newer.
+func (s *Server) stampedFreshness() view.Freshness {
+	clock := uint64(time.Since(clockOrigin).Microseconds()) + 1 // 0 would mean no reading
+	fresh := s.freshness()
+	fresh.ClockUs = clock
+	return fresh
+}
+
 // Close ends all watches, so that a planned stop does not wait for them.
 func (s *Server) Close() { s.closeOnce.Do(func() { close(s.closed) }) }
 
@@ -54,7 +66,7 @@
 	case *wire.Request_Watch:
 		return true, s.watch(ctx, call, body.Watch.GetFromVersion())
 	case *wire.Request_FetchView:
-		return true, s.send(call, view.BuildUpdate(s.log, body.FetchView.GetFromVersion(), s.freshness(), s.WithholdUnconfirmed))
+		return true, s.send(call, view.BuildUpdate(s.log, body.FetchView.GetFromVersion(), s.stampedFreshness(), s.WithholdUnconfirmed))
 	}
 	return false, nil
 }
@@ -90,7 +102,7 @@
 				return nil // the follower has disconnected
 			}
 		}
-		if update := session.Next(time.Now(), s.freshness()); update != nil {
+		if update := session.Next(time.Now(), s.stampedFreshness()); update != nil {
 			if err := s.send(call, update); err != nil {
 				return nil // the follower has disconnected
 			}
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -37,6 +37,10 @@
 	// upgradeInterval is the average time after which a follower tries a source
 	// of a preferred role.
 	upgradeInterval = 30 * time.Second
+	// watchLifetime is the average time after which a follower opens its watch anew: the
+	// clocks of two processes drift apart, by at most half a millisecond a second (see
+	// call.madeAt).
+	watchLifetime = time.Minute
 )
 
 // ActionKind is the kind of an Action.
@@ -87,6 +91,26 @@
 	// confirmedAt is the newest time at which the view sent on this call was
 	// confirmed.
 	confirmedAt time.Time
+	// firstClockUs is the source's clock in the first update of the call; 0 before it.
+	firstClockUs uint64
+}
+
+// madeAt returns a time at or before the one at which the source made an update, whatever
+// the update has waited for since: in a socket while this process or the link stood still.
+// The first update of the call was made after the call was started; the source's clock
+// tells how much later this one was.
+func (c *call) madeAt(now time.Time, update *wire.ViewUpdate) time.Time {
+	if update.GetClockUs() == 0 {
+		return now // a source of an earlier version does not say
+	}
+	if c.firstClockUs == 0 {
+		c.firstClockUs = update.GetClockUs()
+	}
+	at := c.started.Add(time.Duration(int64(update.GetClockUs()-c.firstClockUs)) * time.Microsecond)
+	if at.After(now) {
+		return now
+	}
+	return at
 }
 
 // isConfirmed reports whether the view received on the call is confirmed.
@@ -124,6 +148,9 @@
 	nextTrial time.Time
 	// nextUpgrade is when a source of a preferred role may be tried next.
 	nextUpgrade time.Time
+	// watchLifetime is the time after which the watch of the current source is opened
+	// anew.
+	watchLifetime time.Duration
 	// updateTimeout is the time without an update after which the current source
 	// is abandoned.
 	updateTimeout time.Duration
@@ -142,6 +169,7 @@
 	}
 	f.updateTimeout = minUpdateTimeout + time.Duration(f.random.Int64N(int64(updateTimeoutJitter)))
 	f.nextUpgrade = now.Add(jitter(f.random, upgradeInterval))
+	f.watchLifetime = jitter(f.random, watchLifetime)
 	return f
 }
 
@@ -239,7 +267,7 @@
 // recordConfirmation records when the view was confirmed, according to an update
 // from a source.
 func (f *Follower) recordConfirmation(now time.Time, from *call, update *wire.ViewUpdate) {
-	confirmedAt := now.Add(-time.Duration(update.GetAgeMs()) * time.Millisecond)
+	confirmedAt := from.madeAt(now, update).Add(-time.Duration(update.GetAgeMs()) * time.Millisecond)
 	if confirmedAt.After(from.confirmedAt) {
 		from.confirmedAt = confirmedAt
 	}
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -108,6 +110,60 @@
 	}
 }
 
+// A process that was paused took its view for confirmed by updates that had waited for it.
+func TestConfirmationsThatWaitedKeepTheirAge(t *testing.T) {
+	for _, pause := range []time.Duration{500 * time.Millisecond, time.Second, 3 * time.Second, 10 * time.Second} {
+		for _, address := range []string{"router-0", "router-1", "agent-2"} {
+			t.Run(fmt.Sprint(address, " for ", pause), func(t *testing.T) {
+				is := is.New(t)
+				n := newTypicalNetwork(t)
+				n.pause(address)
+				n.run(200 * time.Millisecond)
+				n.commit()
+				n.run(pause)
+				n.commit()
+				n.resume(address)
+				n.run(step) // checkConfirmation looks after each message
+				n.run(3 * time.Second)
+				is.True(n.freshness(n.byAddress[address]).Confirmed)
+				is.True(n.laggingNode(n.commits[len(n.commits)-1].version) == nil)
+			})
+		}
+	}
+}
+
+// Whatever stands still and goes on, in any order: no process takes its view for newer than
+// it is.
+func TestConfirmationsUnderRandomPauses(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			is := is.New(t)
+			random := rand.New(rand.NewPCG(seed, 1))
+			n := newTypicalNetwork(t)
+			for range 40 {
+				p := n.nodes[random.IntN(len(n.nodes))]
+				if random.IntN(2) == 0 && p.role != RoleControl { // whether a replica is confirmed is not simulated here
+					n.pause(p.address)
+				}
+				n.run(time.Duration(random.IntN(800)) * time.Millisecond)
+				n.commit()
+				if random.IntN(2) == 0 {
+					for address := range maps.Clone(n.paused) {
+						n.resume(address)
+					}
+				}
+			}
+			for address := range maps.Clone(n.paused) {
+				n.resume(address)
+			}
+			n.run(5 * time.Second)
+			for _, p := range n.nodes {
+				is.True(n.freshness(p).Confirmed)
+			}
+		})
+	}
+}
+
 func TestUnconfirmedControlReplicaWithholdsView(t *testing.T) {
 	is := is.New(t)
 	l := logAt(t, 9, DefaultLogLimits())
--- a/internal/view/network_test.go
+++ b/internal/view/network_test.go
@@ -40,6 +40,8 @@
 	firstViewAfter time.Duration
 	// starts is the number of starts.
 	starts uint64
+	// clockOffset is the reading of the node's clock at its latest start.
+	clockOffset uint64
 	// messages and bytes are the traffic sent and received.
 	messages int
 	bytes    int
@@ -77,11 +79,24 @@
 	// dropEvents contains the addresses of nodes whose updates arrive without
 	// events.
 	dropEvents map[string]bool
+	// paused contains the addresses of nodes that stand still. Their messages wait in
+	// held until resume.
+	paused map[string]bool
+	held   map[string][]delivery
+	// commits holds the versions committed by commit and when, oldest first.
+	commits []committed
+}
+
+// committed is a version of the view and the time at which it was committed.
+type committed struct {
+	version uint64
+	at      time.Time
 }
 
 func newNetwork(t *testing.T, controls, routers, agents int, controlView *wire.View) *network {
 	n := &network{
 		t: t, now: time.Unix(1_000_000, 0), byAddress: map[string]*node{}, dropEvents: map[string]bool{},
+		paused: map[string]bool{}, held: map[string][]delivery{},
 		cut: func(a, b *node) bool { return false },
 	}
 	for i := range controls {
@@ -112,6 +127,7 @@
 	p.running = true
 	p.starts++
 	p.started, p.firstViewAfter = n.now, 0
+	p.clockOffset = 1 + p.starts*uint64(len(p.address))*1_000_003
 	p.served = nil
 	p.log = NewLog(DefaultLogLimits())
 	if p.role == RoleControl {
@@ -159,19 +175,55 @@
 		due := n.queue
 		n.queue = nil
 		for _, m := range due {
-			if to := n.byAddress[m.to]; to.running && !n.cut(to, n.byAddress[m.from]) {
+			to := n.byAddress[m.to]
+			switch {
+			case n.paused[m.to]:
+				n.held[m.to] = append(n.held[m.to], m)
+			case to.running && !n.cut(to, n.byAddress[m.from]):
 				m.handle(to)
+				n.checkConfirmation(to)
 			}
 		}
 		tick := n.now.UnixNano()%int64(tickInterval) == 0
 		for _, p := range n.nodes {
-			if p.running {
+			if p.running && !n.paused[p.address] {
 				n.runNode(p, tick)
+				n.checkConfirmation(p)
 			}
 		}
 	}
 }
 
+// pause makes a node stand still, as a stopped process does: what is sent to it waits.
+func (n *network) pause(address string) { n.paused[address] = true }
+
+// resume ends a pause. The node handles what has waited before anything else.
+func (n *network) resume(address string) {
+	delete(n.paused, address)
+	n.queue = append(n.held[address], n.queue...)
+	delete(n.held, address)
+}
+
+// checkConfirmation checks that a node whose view is confirmed has all versions that were
+// committed before the confirmation.
+func (n *network) checkConfirmation(p *node) {
+	n.t.Helper()
+	fresh := n.freshness(p)
+	if p.role == RoleControl || !fresh.Confirmed {
+		return
+	}
+	for _, c := range slices.Backward(n.commits) {
+		age := n.now.Sub(c.at)
+		if age <= fresh.Age {
+			continue
+		}
+		if p.log.Version() < c.version {
+			n.t.Fatalf("%s takes version %d for confirmed %v ago; version %d was committed %v ago", p.address, p.log.Version(), fresh.Age, c.version, age)
+		}
+		return
+	}
+}
+
 func (n *network) runNode(p *node, tick bool) {
 	fresh := n.freshness(p)
 	for _, w := range p.served {
@@ -195,10 +247,12 @@
 }
 
 func (n *network) freshness(p *node) Freshness {
-	if p.role == RoleControl {
-		return Freshness{Confirmed: p.hasQuorum}
+	fresh := Freshness{Confirmed: p.hasQuorum}
+	if p.role != RoleControl {
+		fresh = p.follower.Freshness(n.now)
 	}
-	return p.follower.Freshness(n.now)
+	fresh.ClockUs = p.clockOffset + uint64(n.now.Sub(p.started).Microseconds())
+	return fresh
 }
 
 // perform carries out actions of p's follower.
@@ -248,7 +302,7 @@
 		from.snapshots++
 	}
 	if n.dropEvents[to.address] {
-		update = &wire.ViewUpdate{FromVersion: update.GetFromVersion(), Version: update.GetVersion(), Snapshot: update.GetSnapshot(), Confirmed: update.GetConfirmed()}
+		update = &wire.ViewUpdate{FromVersion: update.GetFromVersion(), Version: update.GetVersion(), Snapshot: update.GetSnapshot(), Confirmed: update.GetConfirmed(), ClockUs: update.GetClockUs()}
 	}
 	n.queue = append(n.queue, delivery{to: to.address, from: from.address, handle: func(to *node) {
 		before := to.log.Version()
@@ -288,6 +342,7 @@
 			n.t.Fatal(err)
 		}
 	}
+	n.commits = append(n.commits, committed{version, n.now})
 	return version
 }
 
--- a/internal/view/trial.go
+++ b/internal/view/trial.go
@@ -61,11 +61,17 @@
 	return append(actions, action)
 }
 
-// nextSource returns the source to try next, or nil.
+// nextSource returns the source to try next, or nil. It is the current source itself if its
+// watch is to be opened anew.
 func (f *Follower) nextSource(now time.Time) *candidate {
 	if !f.current.isConfirmed(now) {
 		return f.sources.best(now, f.SourceAddress(), f.avoidRole)
 	}
+	if now.Sub(f.current.started) >= f.watchLifetime {
+		if known := f.sources.find(f.current.address); known != nil && !now.Before(known.retryAt) {
+			return known
+		}
+	}
 	if now.Before(f.nextUpgrade) {
 		return nil
 	}
--- a/internal/view/watch.go
+++ b/internal/view/watch.go
@@ -19,6 +19,9 @@
 	// Age is the time since the last confirmation. A Follower reports 0 if there
 	// has been none.
 	Age time.Duration
+	// ClockUs is a reading of the process's clock, in microseconds, from before Age was
+	// taken; 0 if there is none. See wire.ViewUpdate.
+	ClockUs uint64
 }
 
 // WatchSession is the server side of one watch. It decides which updates to send
@@ -71,7 +74,8 @@
 		update = log.UpdateSince(from)
 	}
 	update.Confirmed = fresh.Confirmed
-	update.AgeMs = uint32(fresh.Age.Milliseconds())
+	update.AgeMs = uint32((fresh.Age + time.Millisecond - 1).Milliseconds())
+	update.ClockUs = fresh.ClockUs
 	return update
 }
 
