steady: ages of confirmations count the time in which a VM is suspended

Suspected, not reproduced: nothing here suspends a VM. The platform's pages say that the steady clock stands still then; a router that goes on would take a view of before for confirmed a moment ago, and a leader its last quorum contact for recent. Both now use CLOCK_BOOTTIME, and so do the readings that updates of the view carry.

--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -7,6 +7,7 @@
 
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/wire"
 )
 
@@ -20,19 +21,19 @@
 		case <-n.stop:
 			return
 		case b := <-n.batches:
-			n.step(time.Now(), b)
+			n.step(steady.Now(), b)
 		case p := <-n.proposals:
 			n.queuedProposals = append(n.queuedProposals, p)
 		case r := <-n.reads:
 			n.queuedReads = append(n.queuedReads, r)
 		case f := <-n.calls:
-			f(time.Now())
+			f(steady.Now())
 		case s := <-n.savedSnapshots:
 			n.snapshotSaved(s)
 		case <-ticker.C:
 		}
 		n.drainQueues()
-		n.runCycle(time.Now())
+		n.runCycle(steady.Now())
 		if n.err != nil {
 			return
 		}
@@ -43,7 +44,7 @@
 // Messages are handled before the timers: after a stall the leader's heartbeats are
 // still in the queue, and without them the election timeout would fire.
 func (n *Node) drainQueues() {
-	now := time.Now()
+	now := steady.Now()
 	for range queueLength {
 		select {
 		case b := <-n.batches:
@@ -185,7 +186,7 @@
 	for _, e := range rd.Committed {
 		n.apply(e)
 	}
-	n.replica.Advance(time.Now(), rd)
+	n.replica.Advance(steady.Now(), rd)
 	n.confirmReads(rd.Reads)
 }
 
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -11,6 +11,7 @@
 
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/storage"
 	"parsleypulley/internal/wire"
 )
@@ -183,7 +184,7 @@
 			return nil, fmt.Errorf("restore snapshot at %d: %w", state.Snapshot.ID.Index, err)
 		}
 	}
-	now := time.Now()
+	now := steady.Now()
 	random := rand.New(rand.NewPCG(c.Seed, c.Store.Identity()))
 	c.jitterSnapshotThresholds(random)
 	replica, err := NewReplica(now, Options{
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"parsleypulley/internal/event"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/wire"
 )
 
@@ -102,14 +103,14 @@
 // stopped, the status is no longer confirmed after an election timeout.
 func (n *Node) Status() Status {
 	s := *n.status.Load()
-	s.Confirmed = isConfirmed(s.ConfirmedAt, time.Now(), n.config.ElectionTimeout)
+	s.Confirmed = isConfirmed(s.ConfirmedAt, steady.Now(), n.config.ElectionTimeout)
 	return s
 }
 
 // publish stores the current status for Status, and reports changes of role, term
 // and leader to the event log and to Config.OnRoleChange.
 func (n *Node) publish() {
-	s := n.replica.Status(time.Now())
+	s := n.replica.Status(steady.Now())
 	before := n.status.Swap(&s)
 	n.logBearableLosses(&s)
 	if before != nil && before.Role == s.Role && before.Term == s.Term && before.Leader == s.Leader {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -14,6 +14,7 @@
 	"parsleypulley/internal/follow"
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/membership"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -78,7 +79,7 @@
 // confirmed by each quorum contact of this replica or of the leader that it follows.
 func (s *Service) freshness() view.Freshness {
 	status := s.node.Status()
-	return view.Freshness{Confirmed: status.Confirmed, Age: time.Since(status.ConfirmedAt)}
+	return view.Freshness{Confirmed: status.Confirmed, Age: steady.Since(status.ConfirmedAt)}
 }
 
 // ServeLink implements link.Handler.
--- a/internal/follow/driver.go
+++ b/internal/follow/driver.go
@@ -14,6 +14,7 @@
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/link"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -66,7 +67,7 @@
 // New returns a Driver. Run starts it.
 func New(opts Options) *Driver {
 	d := &Driver{opts: opts, cancels: map[uint64]context.CancelFunc{}}
-	d.follower = view.NewFollower(view.FollowerConfig{Role: opts.Role, Seed: opts.Seed, Log: opts.Log}, time.Now())
+	d.follower = view.NewFollower(view.FollowerConfig{Role: opts.Role, Seed: opts.Seed, Log: opts.Log}, steady.Now())
 	d.follower.SetSources(opts.Sources)
 	return d
 }
@@ -133,7 +134,7 @@
 func (d *Driver) step(ctx context.Context, f func(now time.Time) []view.Action) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for _, a := range f(time.Now()) {
+	for _, a := range f(steady.Now()) {
 		switch a.Kind {
 		case view.StartWatch, view.StartFetch:
 			callCtx, cancel := context.WithCancel(ctx)
@@ -253,7 +254,7 @@
 func (d *Driver) ObserveVersion(version uint64, address string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.follower.ObserveVersion(time.Now(), address, version)
+	d.follower.ObserveVersion(steady.Now(), address, version)
 }
 
 // Learn adds a source found at runtime.
@@ -268,7 +269,7 @@
 func (d *Driver) Freshness() view.Freshness {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.follower.Freshness(time.Now())
+	return d.follower.Freshness(steady.Now())
 }
 
 // SourceAddress returns the link address of the process that is followed, or an
--- a/internal/follow/server.go
+++ b/internal/follow/server.go
@@ -8,6 +8,7 @@
 
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/link"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -45,12 +46,12 @@
 }
 
 // clockOrigin is the origin of the clock that updates carry.
-var clockOrigin = time.Now()
+var clockOrigin = steady.Now()
 
 // stampedFreshness returns the freshness with a reading of the clock from before it, so
 // that a pause of this process in between makes the view look older, not newer.
 func (s *Server) stampedFreshness() view.Freshness {
-	clock := uint64(time.Since(clockOrigin).Microseconds()) + 1 // 0 would mean no reading
+	clock := uint64(steady.Since(clockOrigin).Microseconds()) + 1 // 0 would mean no reading
 	fresh := s.freshness()
 	fresh.ClockUs = clock
 	return fresh
@@ -102,7 +103,7 @@
 				return nil // the follower has disconnected
 			}
 		}
-		if update := session.Next(time.Now(), s.stampedFreshness()); update != nil {
+		if update := session.Next(steady.Now(), s.stampedFreshness()); update != nil {
 			if err := s.send(call, update); err != nil {
 				return nil // the follower has disconnected
 			}
