forward: what is read of a response that is no answer is bounded

Cause: net/http's ReadResponse sets no limit to a head, and bodies that nobody gets were read to their end.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -93,8 +93,7 @@
 	case outcome == 0 || outcome == Failed:
 		return c.forwardResponse(d, resp, outcome)
 	}
-	_, more, err := resp.bufferBody()
-	resp.close(err == nil && !more)
+	resp.discard()
 	return &failure{outcome, fmt.Errorf("status %d", resp.status)}, Step{}
 }
 
@@ -132,27 +131,35 @@
 // maxBufferedBody bytes before it writes anything, so that a response cut off
 // within them can still be retried.
 func (c *forwardedCall) forwardResponse(d *routing.Decision, r *response, outcome Outcome) (*failure, Step) {
-	body, more, err := r.bufferBody()
-	if err != nil {
-		r.close(false)
-		return &failure{InvalidResponse, err}, Step{}
-	}
-	if outcome == Failed && !more {
-		r.close(true)
+	if outcome == Failed {
 		now := time.Now()
 		step := c.Next(now, Failed, func() bool { return c.f.selector.tryRetry(now, c.service) })
-		c.f.selector.failed(now, d, faultKinds[Failed])
 		if !step.PassThrough {
+			r.discard()
+			c.f.selector.failed(now, d, faultKinds[Failed])
 			c.outcomes = append(c.outcomes, fmt.Sprintf("%s:%s", c.backend, Failed))
 			return nil, step
 		}
-		c.writeHeader(r, int64(len(body)))
-		c.writeBody(body)
-		return nil, Step{}
+	}
+	body, more, err := r.bufferBody()
+	if err != nil && outcome == Failed {
+		r.close(false)
+		c.f.selector.failed(time.Now(), d, faultKinds[InvalidResponse])
+		c.checkCrash(d, err)
+		c.outcomes = append(c.outcomes, fmt.Sprintf("%s:%s", c.backend, InvalidResponse))
+		return nil, c.PassThroughFailed(time.Now())
+	}
+	if err != nil {
+		r.close(false)
+		return &failure{InvalidResponse, err}, Step{}
 	}
 	if !more {
 		r.close(true)
-		c.f.selector.finished(time.Now(), d)
+		if outcome == Failed {
+			c.f.selector.failed(time.Now(), d, faultKinds[Failed])
+		} else {
+			c.f.selector.finished(time.Now(), d)
+		}
 		c.writeHeader(r, int64(len(body)))
 		c.writeBody(body)
 		return nil, Step{}
--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -54,6 +54,16 @@
 	// maxStrayResponses limits the responses to other calls that are skipped on
 	// one connection.
 	maxStrayResponses = 2
+	// maxHeadBytes limits the head of a response, with the interim responses before it,
+	// and maxInterimResponses their number.
+	maxHeadBytes        = 64 << 10
+	maxInterimResponses = 5
+	// A body that nobody gets is read, so that its connection can be reused, as long as it
+	// ends within maxDiscardedBytes and discardTimeout. For the body of another call's
+	// response, behind which this call's is due, the time is strayTimeout.
+	maxDiscardedBytes = 64 << 10
+	discardTimeout    = 20 * time.Millisecond
+	strayTimeout      = 500 * time.Millisecond
 )
 
 // connections counts opened, reused and failed connections to backend servers.
@@ -96,6 +106,10 @@
 	net.Conn
 	address string
 	r       *bufio.Reader
+	// head limits what is read for the head of a response.
+	head *headLimiter
+	// deadline is the time by which the current call must be complete.
+	deadline time.Time
 	// expires is the time from which the connection must not be reused.
 	expires time.Time
 	// lastUsed is the time of the last response.
@@ -134,7 +148,63 @@
 		return nil, err
 	}
 	connections.Add("opened", 1)
-	return &conn{Conn: raw, address: address, r: bufio.NewReaderSize(raw, readBuffer)}, nil
+	head := &headLimiter{r: raw}
+	return &conn{Conn: raw, address: address, r: bufio.NewReaderSize(head, readBuffer), head: head}, nil
+}
+
+// errHeadTooLong is returned when the head of a response exceeds maxHeadBytes.
+var errHeadTooLong = errors.New("the head of the response is too long")
+
+// headLimiter limits the bytes read while the head of a response is read.
+type headLimiter struct {
+	r io.Reader
+	// reading is set while a head is read, and left is how much of it may be read still.
+	reading bool
+	left    int
+}
+
+// begin starts the reading of a head, end ends it.
+func (l *headLimiter) begin() { l.reading, l.left = true, maxHeadBytes }
+func (l *headLimiter) end()   { l.reading = false }
+
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.reading {
+		return l.r.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := l.r.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
+// setDeadline sets the time by which the current call must be complete; zero means none.
+func (c *conn) setDeadline(deadline time.Time) error {
+	c.deadline = deadline
+	return c.SetDeadline(deadline)
+}
+
+// errBodyTooLong is returned when a body that nobody gets does not end.
+var errBodyTooLong = errors.New("the body does not end")
+
+// discard reads a body that nobody gets to its end, within limits.
+func (c *conn) discard(body io.Reader, timeout time.Duration) error {
+	limit := time.Now().Add(timeout)
+	if !c.deadline.IsZero() && c.deadline.Before(limit) {
+		limit = c.deadline
+	}
+	if err := c.SetReadDeadline(limit); err != nil {
+		return err
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes))
+	switch {
+	case err != nil:
+		return err
+	case n == maxDiscardedBytes:
+		return errBodyTooLong
+	}
+	return c.SetReadDeadline(c.deadline)
 }
 
 // staysOpen waits for d and reports whether the connection, on which nothing was sent, is
@@ -241,7 +311,7 @@
 		if isMatch(resp) {
 			return resp, reqWrite, true, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := c.discard(resp.Body, strayTimeout); err != nil {
 			return nil, reqWrite, true, fmt.Errorf("%w: %w", errOtherCall, err)
 		}
 	}
@@ -306,7 +376,9 @@
 // readHead reads the headers of the next response and skips interim (1xx)
 // responses.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	for {
+	c.head.begin()
+	defer c.head.end()
+	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.r, req)
 		if err != nil {
 			return nil, err
@@ -315,6 +387,7 @@
 			return resp, nil
 		}
 	}
+	return nil, errHeadTooLong
 }
 
 // keepFor returns how long the connection may be kept for reuse after resp; 0 if
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -131,6 +131,10 @@
 // NoBackend returns the step that follows when no backend server is left to try.
 func (s *RetryState) NoBackend(now time.Time) Step { return s.giveUp(now, Unsent) }
 
+// PassThroughFailed returns the step that follows when the backend server's error response,
+// which the caller was to get, is not complete.
+func (s *RetryState) PassThroughFailed(now time.Time) Step { return s.giveUp(now, InvalidResponse) }
+
 // Quarantined returns the step that follows when the call must not be sent to any backend
 // server.
 func (s *RetryState) Quarantined() Step {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -54,7 +54,7 @@
 		return nil, &failure{Unsent, err}
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		_ = c.SetDeadline(deadline) // fails only on a closed connection, on which the write fails too
+		_ = c.setDeadline(deadline) // fails only on a closed connection, on which the write fails too
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	var info ResponseInfo
@@ -102,13 +102,16 @@
 		r.conn.Close()
 		return
 	}
-	if err := r.conn.SetDeadline(time.Time{}); err != nil {
+	if err := r.conn.setDeadline(time.Time{}); err != nil {
 		r.conn.Close()
 		return
 	}
 	r.pool.put(r.conn, keep)
 }
 
+// discard ends the use of the response, whose body nobody gets.
+func (r *response) discard() { r.close(r.conn.discard(r.body, discardTimeout) == nil) }
+
 // bufferBody reads at most maxBufferedBody bytes of the body. more is set if that
 // limit was reached.
 func (r *response) bufferBody() (body []byte, more bool, err error) {
