--- a/internal/forward/stores.go
+++ b/internal/forward/stores.go
@@ -74,6 +74,7 @@
 	for ctx.Err() == nil {
 		conn, err := s.dialer.DialContext(ctx, "tcp", address)
 		if err == nil {
+			connectedAt := time.Now()
 			s.setState(address, w, true, nil)
 			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 			// No request is sent, so Read returns only when the connection ends.
@@ -82,7 +83,9 @@
 			_ = conn.Close()
 			if probe, dialErr := s.dialer.DialContext(ctx, "tcp", address); dialErr == nil {
 				_ = probe.Close()
-				continue // the store closed the idle connection but is up
+				// The store closed the idle connection, or sent something, but is up.
+				backoff.Sleep(ctx, storeRetryDelay-time.Since(connectedAt))
+				continue
 			}
 		}
 		s.setState(address, w, false, err)
--- a/internal/forward/stores_test.go
+++ b/internal/forward/stores_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -45,3 +48,28 @@
 	all[addresses[0]].up, all[addresses[2]].up = false, false
 	is.Equal(s.homeStore(v, 1), "")
 }
+
+// A store that sends bytes nobody asked for was dialled again and again without a pause.
+func TestTalkativeStoreIsNotDialledInALoop(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	var accepted atomic.Int32
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			accepted.Add(1)
+			go func() { defer c.Close(); writeForever(c, "x", time.Millisecond) }()
+		}
+	}()
+	r := newFixture(t, nil)
+	r.appendEvent(&wire.ViewEvent{Body: &wire.ViewEvent_RouteTable{RouteTable: &wire.RouteTable{Version: 1,
+		Services: []*wire.ForwardService{{Name: "store", Store: &wire.CacheStore{Address: ln.Addr().String()}}}}}})
+	time.Sleep(3 * storeRetryDelay / 2)
+	is.True(accepted.Load() > 0)
+	is.True(accepted.Load() <= 4) // a connection and a check that it is up, each storeRetryDelay
+}
