--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -111,7 +111,7 @@
 // stops the listener.
 func (o *ControlOptions) serveControlAPI(p *daemon.Process, api ControlAPI, views daemon.Views) (func(context.Context), error) {
 	return ServeHTTP(p, o.Listen, "outside", maxAPIConnections, &http.Server{
-		Handler: o.Handler(api, views), ReadTimeout: apiReadTimeout, IdleTimeout: apiIdleTimeout,
+		Handler: o.Handler(api, views), ReadTimeout: apiReadTimeout, IdleTimeout: apiIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
 }
 
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -90,7 +90,7 @@
 	}
 	var stopping atomic.Bool
 	stopReady, err := ServeHTTP(p, o.ReadinessListen, "readiness", maxReadinessConnections, &http.Server{
-		Handler: readinessHandler(o.ReadinessPath, forwarder, &stopping), ReadTimeout: headerTimeout,
+		Handler: readinessHandler(o.ReadinessPath, forwarder, &stopping), ReadTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
 	if err != nil {
 		return err
