agent: an engine that says it leaves gets no new work

The agent reads it in every answer of its backend server; its gate refuses new requests to that incarnation as not run, whatever router sends them, and a router that gets the answer keeps to it as on the other path. TestLeavingEngineBehindAgentGetsNoWork (two routers; streamed or not) failed with the reading switched off: all further requests arrived. Also: SetDraining compares with the drain alone, as it would have logged a change with each announcement of a leaving backend server.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -255,14 +255,28 @@
 // requests continue.
 func (a *Agent) SetDraining(draining bool) {
 	a.mu.Lock()
-	changed := a.gate.Status().Draining != draining
-	a.gate.SetDraining(draining)
+	changed := a.gate.SetDraining(draining)
 	a.mu.Unlock()
 	if changed {
 		event.DrainChanged(a.config.Name, draining)
 	}
 }
 
+// noteLeaving makes the agent refuse new requests if the backend server has said that it
+// leaves. Running requests continue.
+func (a *Agent) noteLeaving() {
+	incarnation := a.engine.Leaving()
+	if incarnation == 0 {
+		return
+	}
+	a.mu.Lock()
+	news := a.gate.EngineLeaves(incarnation)
+	a.mu.Unlock()
+	if news {
+		event.BackendSaysItLeaves(a.config.Name, a.config.Address)
+	}
+}
+
 // ObserveFencingToken makes the agent refuse orders with a fencing token lower than
 // token.
 func (a *Agent) ObserveFencingToken(token uint64) {
--- a/internal/agent/gate/gate.go
+++ b/internal/agent/gate/gate.go
@@ -92,6 +92,9 @@
 	models            []*wire.LoadedModel
 	draining          bool
 	leaving           bool
+	// engineLeaves is set once the current incarnation of the backend server has said
+	// that it leaves.
+	engineLeaves bool
 	running           map[StreamKey]struct{}
 	claims            claims
 	orders            orders
@@ -115,6 +118,9 @@
 // loaded models. It reports whether the incarnation has changed.
 func (g *Gate) EngineUp(engineIncarnation uint64, models []*wire.LoadedModel) (changed bool) {
 	changed = engineIncarnation != g.engineIncarnation
+	if changed {
+		g.engineLeaves = false
+	}
 	g.up = true
 	g.engineIncarnation = engineIncarnation
 	g.models = models
@@ -123,10 +129,31 @@
 
 // EngineDown records a failed health check. The gate refuses requests until the
 // next call of EngineUp.
-func (g *Gate) EngineDown() { g.up = false }
+func (g *Gate) EngineDown() {
+	g.up = false
+	if g.service != "" {
+		g.engineLeaves = false // the next run of a plain service has the same incarnation
+	}
+}
 
-// SetDraining makes the gate refuse new requests, or accept them again.
-func (g *Gate) SetDraining(draining bool) { g.draining = draining }
+// EngineLeaves records that an incarnation of the backend server has said that it leaves:
+// the gate refuses new requests to it, and accepts them again for the next incarnation. It
+// reports whether that is news.
+func (g *Gate) EngineLeaves(engineIncarnation uint64) (news bool) {
+	if engineIncarnation != g.engineIncarnation || g.engineLeaves {
+		return false
+	}
+	g.engineLeaves = true
+	return true
+}
+
+// SetDraining makes the gate refuse new requests, or accept them again. It reports
+// whether that is a change.
+func (g *Gate) SetDraining(draining bool) (changed bool) {
+	changed = g.draining != draining
+	g.draining = draining
+	return changed
+}
 
 // SetLeaving makes the gate refuse new requests until the agent stops.
 func (g *Gate) SetLeaving() { g.leaving = true }
@@ -140,8 +167,8 @@
 	Incarnation uint64
 	// Models are the models that were loaded at the last successful health check.
 	Models []*wire.LoadedModel
-	// Draining is set while the gate refuses new requests because of SetDraining or
-	// SetLeaving.
+	// Draining is set while the gate refuses new requests because of SetDraining,
+	// SetLeaving or EngineLeaves.
 	Draining bool
 	// Leaving is set after SetLeaving.
 	Leaving bool
@@ -157,7 +184,7 @@
 		Up:          g.up,
 		Incarnation: g.engineIncarnation,
 		Models:      g.models,
-		Draining:    g.draining || g.leaving,
+		Draining:    g.draining || g.leaving || g.engineLeaves,
 		Leaving:     g.leaving,
 		Running:     len(g.running),
 		Claims:      len(g.claims.records),
@@ -215,7 +242,7 @@
 	if g.leaving {
 		return fault.New(fault.Shutdown, fault.NotRun, "the agent is stopping")
 	}
-	if g.draining {
+	if g.draining || g.engineLeaves {
 		return fault.New(fault.Draining, fault.NotRun, "the backend server is draining")
 	}
 	if d.Service != g.service {
--- a/internal/agent/gate/gate_test.go
+++ b/internal/agent/gate/gate_test.go
@@ -57,6 +57,8 @@
 		{"draining", func(g *Gate) { g.SetDraining(true) }, nil, fault.Draining, fault.NotRun},
 		{"leaving", func(g *Gate) { g.SetLeaving() }, nil, fault.Shutdown, fault.NotRun},
 		{"leaving after the end of a drain", func(g *Gate) { g.SetLeaving(); g.SetDraining(false) }, nil, fault.Shutdown, fault.NotRun},
+		{"engine leaves", func(g *Gate) { g.EngineLeaves(engineIncarnation) }, nil, fault.Draining, fault.NotRun},
+		{"engine leaves, its drain ends", func(g *Gate) { g.EngineLeaves(engineIncarnation); g.SetDraining(true); g.SetDraining(false) }, nil, fault.Draining, fault.NotRun},
 		{"engine down", func(g *Gate) { g.EngineDown() }, nil, fault.BackendRefused, fault.NotRun},
 		{"engine restarted", func(g *Gate) { g.EngineUp(engineIncarnation+1, g.models) }, nil, fault.StaleIncarnation, fault.NotRun},
 		{"older weights requested", nil, func(d *wire.Dispatch) { d.WeightsVersion = "v1" }, fault.StaleWeights, fault.NotRun},
@@ -366,3 +368,30 @@
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(g.Status().Claims), "B/claim")
 	runtime.KeepAlive(g)
 }
+
+// That an engine leaves holds for its incarnation: a late answer of the one before says
+// nothing of the next one. A plain service has no incarnation that changes.
+func TestLeavingHoldsForOneRun(t *testing.T) {
+	is := is.New(t)
+	g := newGate("", smallLimits())
+	is.True(!g.EngineLeaves(engineIncarnation - 1)) // late
+	_, err := g.Admit(t0, chat("r1"))
+	is.True(err == nil)
+	is.True(g.EngineLeaves(engineIncarnation))
+	is.True(!g.EngineLeaves(engineIncarnation)) // told before
+	is.True(g.Status().Draining)
+	is.True(!g.Status().Leaving) // the agent stays
+	g.EngineDown()
+	g.EngineUp(engineIncarnation, g.models)
+	is.True(g.Status().Draining)
+	g.EngineUp(engineIncarnation+1, g.models)
+	is.True(!g.Status().Draining)
+
+	plain := newGate("farmdesk", smallLimits())
+	is.True(plain.EngineLeaves(engineIncarnation))
+	plain.EngineUp(engineIncarnation, nil)
+	is.True(plain.Status().Draining)
+	plain.EngineDown()
+	plain.EngineUp(engineIncarnation, nil)
+	is.True(!plain.Status().Draining)
+}
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -34,6 +34,7 @@
 		return nil, controlError(err, sent.Load())
 	}
 	defer resp.Body.Close()
+	h.readLeaving(resp.Header)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, controlError(err, true)
--- a/internal/engine/dialect/dialect.go
+++ b/internal/engine/dialect/dialect.go
@@ -21,6 +21,8 @@
 	LastEventID = "Last-Event-Id"
 	// Refusal marks a response which proves that the request did not run.
 	Refusal = "X-Refusal"
+	// Leaving is set to 1 on every response of a backend server that leaves.
+	Leaving = "Server-Leaving"
 )
 
 // Values of the Refusal header.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -33,6 +33,8 @@
 	// Order makes the engine load a model, weights or adapters, or change its role.
 	// It returns when that is done.
 	Order(ctx context.Context, order dialect.Order) error
+	// Leaving returns the incarnation that has said in a response that it leaves, or 0.
+	Leaving() uint64
 	// PlainService reports whether the backend server is a plain service, which is
 	// any HTTP service other than a model engine. A plain service supports only Run
 	// and Health.
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -40,6 +40,8 @@
 	// incarnation is the incarnation in the last health check, or 0 if the check
 	// failed.
 	incarnation atomic.Uint64
+	// leaving is the incarnation that has said that it leaves, or 0.
+	leaving atomic.Uint64
 }
 
 var _ Engine = (*HTTP)(nil)
@@ -121,6 +123,7 @@
 		cancel(nil)
 		return nil, err
 	}
+	h.readLeaving(resp.Header)
 	response := &httpResponse{resp: resp, ctx: ctx, cancel: cancel, idle: idle, tokens: req.ResumeOffset, limits: h.limits}
 	if err := response.readHead(h, req); err != nil {
 		response.Close()
@@ -129,6 +132,22 @@
 	return response, nil
 }
 
+// Leaving implements Engine.
+func (h *HTTP) Leaving() uint64 { return h.leaving.Load() }
+
+// readLeaving records whether a response of any kind says that the backend server leaves.
+// A response without an incarnation is taken for one of the current incarnation.
+func (h *HTTP) readLeaving(header http.Header) {
+	if header.Get(dialect.Leaving) != "1" {
+		return
+	}
+	incarnation := parseUint(header.Get(dialect.Incarnation), 64)
+	if incarnation == 0 {
+		incarnation = h.incarnation.Load()
+	}
+	h.leaving.Store(incarnation)
+}
+
 // traceConn returns a context that sets sent when a connection for the request is
 // available. Before that, nothing can have reached the backend server.
 func traceConn(ctx context.Context, sent *atomic.Bool) context.Context {
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"go.opentelemetry.io/otel/propagation"
 
 	"parsleypulley/internal/dispatch"
+	"parsleypulley/internal/engine/dialect"
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/link"
@@ -154,6 +156,9 @@
 				c.router.selector.applyLoad(attempt.decision.Backend.Name, load)
 			}
 		case *wire.Response_Head:
+			if isLeaving(body.Head) {
+				c.router.selector.saidLeaving(attempt.decision)
+			}
 			if err := checkResponseStatus(body.Head.Status); err != nil {
 				c.fail(attempt, err)
 				return
@@ -173,6 +178,16 @@
 	}
 }
 
+// isLeaving reports whether a response says that its backend server leaves.
+func isLeaving(head *wire.Head) bool {
+	for _, h := range head.GetHeaders() {
+		if h.GetName() == dialect.Leaving {
+			return slices.Contains(h.GetValues(), "1")
+		}
+	}
+	return false
+}
+
 // firstToken reports the first chunk of an attempt to routing, the metrics and
 // admission. sent is when the attempt was sent.
 func (c *call) firstToken(attempt *attempt, sent time.Time) {
--- a/internal/router/fault_test.go
+++ b/internal/router/fault_test.go
@@ -228,6 +228,41 @@
 	is.True(b.standin.Counts().Refused <= 2) // the first one, and a probe
 }
 
+// An engine behind an agent that said in an answer that it leaves got further requests.
+func TestLeavingEngineBehindAgentGetsNoWork(t *testing.T) {
+	for _, streamed := range []bool{false, true} {
+		t.Run(fmt.Sprint("streamed ", streamed), func(t *testing.T) {
+			is := is.New(t)
+			s := newStack(t)
+			leaving := s.addBackend("engine-0", "", standin.Options{})
+			urls := []string{s.addRouter(), s.addRouter()}
+			body := chatBody
+			if streamed {
+				body = strings.Replace(chatBody, "{", `{"stream":true,`, 1)
+			}
+			send := func(i int) (status int) {
+				resp, err := http.DefaultClient.Do(newRequest(t, "POST", urls[i%len(urls)]+"/v1/chat/completions", body))
+				is.NoErr(err)
+				defer resp.Body.Close()
+				_, err = io.Copy(io.Discard, resp.Body)
+				is.NoErr(err)
+				return resp.StatusCode
+			}
+			is.True(leaving.standin.Inject(standin.Fault{Kind: standin.FaultLeave}))
+			is.Equal(send(0), http.StatusOK) // the answer that says so
+			for i := range 10 {
+				began := time.Now()
+				is.Equal(send(i), http.StatusServiceUnavailable) // by either router
+				is.True(time.Since(began) < time.Second)
+			}
+			is.Equal(len(leaving.standin.Counts().Requests), 1)
+			s.addBackend("engine-1", "", standin.Options{})
+			waitFor(t, func() bool { return send(0) == http.StatusOK && send(1) == http.StatusOK })
+			is.Equal(len(leaving.standin.Counts().Requests), 1)
+		})
+	}
+}
+
 // TestConcurrentRequestsOfCrashingRequestAreNotQuarantined guards against the quarantine
 // of harmless requests. Requests that run on an engine while another request crashes it
 // are counted with one crash. Their retries run apart from other suspects and complete.
--- a/internal/router/selector.go
+++ b/internal/router/selector.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/routing"
 	"parsleypulley/internal/view"
@@ -70,6 +71,15 @@
 	s.router.Finished(time.Now(), d, end)
 }
 
+// saidLeaving records that the backend server of an attempt has said that it leaves.
+func (s *backendSelector) saidLeaving(d *routing.Decision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.router.SaidLeaving(time.Now(), d) {
+		event.BackendSaysItLeaves(d.Backend.Name, d.Backend.AgentAddress)
+	}
+}
+
 // failed reports a failed attempt. Only engines set a time to come back in their errors.
 func (s *backendSelector) failed(d *routing.Decision, e *fault.Error) {
 	s.mu.Lock()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -32,6 +32,8 @@
 	// FaultRefuse refuses the next Count requests before they run, and names DurationMS,
 	// in whole seconds, as the time to come back.
 	FaultRefuse = "refuse"
+	// FaultLeave makes all answers say that the server leaves, until the next instance.
+	FaultLeave = "leave"
 	// FaultNone removes all faults.
 	FaultNone = "none"
 )
@@ -67,6 +69,8 @@
 	// factor multiplies all processing times.
 	factor      float64
 	frozenUntil time.Time
+	// leaving is set while all answers say that the server leaves.
+	leaving bool
 }
 
 func newFaults(ctx context.Context) *faults { return &faults{ctx: ctx, factor: 1} }
@@ -145,7 +149,10 @@
 		f.factor = max(fault.Factor, 0)
 	case FaultRefuse:
 		f.refusalsLeft, f.retryAfter = n, time.Duration(fault.DurationMS)*time.Millisecond
+	case FaultLeave:
+		f.leaving = true
 	case FaultNone:
+		f.leaving = false
 		f.cutAfter, f.cutsLeft, f.crashAfter, f.wrongAnswersLeft, f.refusalsLeft = 0, 0, 0, 0, 0
 		f.factor, f.frozenUntil = 1, time.Time{}
 	default:
@@ -164,6 +171,9 @@
 		if f.ctx.Err() != nil {
 			panic(http.ErrAbortHandler)
 		}
+		if f.isLeaving() {
+			w.Header().Set(dialect.Leaving, "1")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -188,6 +198,12 @@
 	return !f.frozenUntil.IsZero() && time.Now().Before(f.frozenUntil)
 }
 
+func (f *faults) isLeaving() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.leaving
+}
+
 func (f *faults) scale(d time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
