--- a/internal/agent/gate/gate.go
+++ b/internal/agent/gate/gate.go
@@ -95,9 +95,9 @@
 	// engineLeaves is set once the current incarnation of the backend server has said
 	// that it leaves.
 	engineLeaves bool
-	running           map[StreamKey]struct{}
-	claims            claims
-	orders            orders
+	running      map[StreamKey]struct{}
+	claims       claims
+	orders       orders
 }
 
 // New returns the gate of the agent with the given incarnation. The backend server
