forward: a stream that is resumed after its last event is complete

What callers saw: a stream whose server ended after its last event, before the end of the body, was broken off with all events delivered: the server that resumed it had none left to send, and an empty stream counted as broken. TestStreamResumedAfterItsLastEvent failed before (unexpected EOF); TestEmptyStreamIsTriedElsewhere keeps the case of a new stream without events.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -209,10 +209,12 @@
 // result is as for runAttempt.
 func (c *forwardedCall) forwardStream(d *routing.Decision, r *response) (*failure, Step) {
 	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer)}
+	// A stream that goes on after the last event that the caller has may have none left.
+	resumed := c.headerWritten && c.lastEventID != ""
 	started := false
 	for {
 		event, id, err := events.next()
-		if errors.Is(err, io.EOF) && started {
+		if errors.Is(err, io.EOF) && (started || resumed) {
 			r.close(true)
 			c.f.selector.finished(time.Now(), d)
 			return nil, Step{}
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -305,6 +305,44 @@
 	is.Equal(body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: x\n\n")
 }
 
+// A stream whose server ended after its last event, before it said that the stream is
+// complete, was broken off: the server that resumed it had no event left to send.
+func TestStreamResumedAfterItsLastEvent(t *testing.T) {
+	is := is.New(t)
+	var attempts atomic.Int32
+	script := func(c net.Conn, r *http.Request) {
+		if attempts.Add(1) == 1 {
+			writeEvents(c, r, 1, 3, false)
+			return
+		}
+		writeEvents(c, r, 4, 3, true) // none
+	}
+	r := newFixture(t, forwardRoute(setResumableStream), startBackend(t, script), startBackend(t, script))
+	status, body, _, err := r.call()
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\n")
+	is.Equal(attempts.Load(), int32(2))
+}
+
+// A new stream without any event is no answer.
+func TestEmptyStreamIsTriedElsewhere(t *testing.T) {
+	is := is.New(t)
+	var attempts atomic.Int32
+	script := func(c net.Conn, r *http.Request) {
+		if attempts.Add(1) == 1 {
+			writeEvents(c, r, 1, 0, true)
+			return
+		}
+		writeEvents(c, r, 1, 2, true)
+	}
+	r := newFixture(t, forwardRoute(setResumableStream), startBackend(t, script), startBackend(t, script))
+	status, body, _, err := r.call()
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+}
+
 // A stream that was cut off and cannot be resumed must not look complete to the
 // caller.
 func TestInterruptedStreamIsAborted(t *testing.T) {
