--- a/internal/forward/budget.go
+++ b/internal/forward/budget.go
@@ -38,7 +38,10 @@
 // window. It is deterministic and not safe for concurrent use.
 type retryBudget struct {
 	limits RetryBudgetLimits
-	// slot is the number of the newest slot, counted from the Unix epoch.
+	// origin is the time of the first call or retry. Slots are counted from it by the
+	// steady clock, as the time of day may jump.
+	origin time.Time
+	// slot is the number of the newest slot.
 	slot int64
 	// calls counts calls by slot.
 	calls [budgetSlots]int
@@ -77,7 +80,10 @@
 
 // advance clears the slots that have left the window.
 func (b *retryBudget) advance(now time.Time) {
-	slot := now.UnixNano() / int64(b.limits.Window/budgetSlots)
+	if b.origin.IsZero() {
+		b.origin = now
+	}
+	slot := int64(now.Sub(b.origin) / (b.limits.Window / budgetSlots))
 	for i := max(b.slot+1, slot-budgetSlots+1); i <= slot; i++ {
 		b.calls[i%budgetSlots], b.retries[i%budgetSlots] = 0, 0
 	}
--- a/internal/forward/budget_test.go
+++ b/internal/forward/budget_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/matryer/is"
 )
@@ -69,3 +70,30 @@
 	is.True(b.tryWithdraw(now.Add(11*time.Second), 0))
 	is.True(b.tryWithdraw(now.Add(100*time.Second), 0))
 }
+
+// stepWallClock returns t as time.Now returns it after the time of day has jumped: the
+// reading of the steady clock is the same.
+func stepWallClock(t time.Time, seconds int64) time.Time {
+	const secondsShift = 30 // of the wall clock in a time with both readings
+	*(*uint64)(unsafe.Pointer(&t)) += uint64(seconds) << secondsShift
+	return t
+}
+
+// A jump of the time of day made a router forget the retries of the last seconds, and allow
+// as many again.
+func TestRetryBudgetIgnoresTheTimeOfDay(t *testing.T) {
+	is := is.New(t)
+	limits := RetryBudgetLimits{Ratio: 0.2, ExtraRetries: 100, Window: 10 * time.Second, Routers: 1}
+	b := newRetryBudget(limits)
+	now := time.Now()
+	is.Equal(stepWallClock(now, 60).Sub(now), time.Duration(0)) // the steady clock has not moved
+	is.True(stepWallClock(now, 60).Unix() == now.Unix()+60)
+	retries := 0
+	for range 8 {
+		for b.tryWithdraw(now, 0) {
+			retries++
+		}
+		now = stepWallClock(now.Add(100*time.Millisecond), 20)
+	}
+	is.True(retries <= 100)
+}
