--- a/internal/prefix/index.go
+++ b/internal/prefix/index.go
@@ -53,6 +53,8 @@
 	// stored one; none if there are no entries.
 	head int32
 	tail int32
+	// origin is the origin of the times that nanos returns.
+	origin time.Time
 }
 
 // slotKey is a key with its scope. The key alone does not suffice: it is a hash
@@ -63,7 +65,7 @@
 type engineState struct {
 	// sequence is the number of the last batch of events.
 	sequence uint64
-	// gapAt is the time of the last gap in the events, in Unix nanoseconds; 0
+	// gapAt is the time of the last gap in the events, as returned by nanos; 0
 	// if there is none.
 	gapAt int64
 }
@@ -81,16 +83,25 @@
 
 type holder struct {
 	engine EngineID
-	// confirmedAt is when the holding was last confirmed, in Unix nanoseconds.
+	// confirmedAt is when the holding was last confirmed, as returned by nanos.
 	confirmedAt int64
-	// usedAt is when Stored was last called for the holding, in Unix
-	// nanoseconds. Unlike confirmedAt, it is not changed by Resync.
+	// usedAt is when Stored was last called for the holding, as
+	// returned by nanos. Unlike confirmedAt, it is not changed by Resync.
 	usedAt int64
 }
 
 // none is the index of no entry.
 const none = int32(-1)
 
+// nanos returns a time as the index keeps it: in nanoseconds by the steady clock, as the time
+// of day may jump. It is never 0.
+func (x *Index) nanos(now time.Time) int64 {
+	if x.origin.IsZero() {
+		x.origin = now.Add(-1)
+	}
+	return int64(now.Sub(x.origin))
+}
+
 // NewIndex returns an index of at most limit keys. A holding expires if it is
 // not confirmed within the given time.
 func NewIndex(limit int, expiry time.Duration) *Index {
@@ -124,7 +135,7 @@
 		return
 	}
 	e := x.touch(slotKey{scope, key})
-	at := now.UnixNano()
+	at := x.nanos(now)
 	oldest := 0
 	for i := range e.holders[:e.count] {
 		if e.holders[i].engine == id {
@@ -153,7 +164,7 @@
 	e := &x.entries[i]
 	for _, h := range e.holders[:e.count] {
 		if h.engine == id {
-			return time.Duration(now.UnixNano() - h.usedAt), true
+			return time.Duration(x.nanos(now) - h.usedAt), true
 		}
 	}
 	return 0, false
@@ -187,7 +198,7 @@
 	gap = ev.Sequence != state.sequence+1
 	state.sequence = ev.Sequence
 	if gap {
-		state.gapAt = now.UnixNano()
+		state.gapAt = x.nanos(now)
 	}
 	for _, key := range ev.Stored {
 		x.Stored(now, scope, key, id)
@@ -209,7 +220,7 @@
 	state.gapAt = 0
 	for i := x.head; i != none; i = x.entries[i].next {
 		if e := &x.entries[i]; e.slot.scope == scope {
-			e.resync(id, slices.Contains(held, e.slot.key), now.UnixNano())
+			e.resync(id, slices.Contains(held, e.slot.key), x.nanos(now))
 		}
 	}
 }
@@ -238,7 +249,7 @@
 		return dst
 	}
 	e := &x.entries[i]
-	at := now.UnixNano()
+	at := x.nanos(now)
 	for _, h := range e.holders[:e.count] {
 		if x.valid(at, h) {
 			dst = append(dst, Holding{EngineID: h.engine, Age: time.Duration(at - h.confirmedAt)})
@@ -250,7 +261,7 @@
 // Held appends the keys that the engine holds and has used within maxIdle to
 // dst and returns it. The most recently stored key is first.
 func (x *Index) Held(now time.Time, id EngineID, maxIdle time.Duration, dst []uint64) []uint64 {
-	at := now.UnixNano()
+	at := x.nanos(now)
 	for i := x.head; i != none; i = x.entries[i].next {
 		e := &x.entries[i]
 		for _, h := range e.holders[:e.count] {
--- a/internal/prefix/prefix_test.go
+++ b/internal/prefix/prefix_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
@@ -267,3 +268,19 @@
 		Levels(scope, p)
 	}
 }
+
+// After a jump of the time of day no holding was valid any more.
+func TestHoldingsIgnoreTheTimeOfDay(t *testing.T) {
+	is := is.New(t)
+	x := NewIndex(10, time.Minute)
+	id := x.AddEngine()
+	now := time.Now()
+	x.Stored(now, 1, 2, id)
+	later := now.Add(time.Second)
+	const secondsShift = 30                                    // of the wall clock in a time with both readings
+	*(*uint64)(unsafe.Pointer(&later)) += 3600 << secondsShift // the steady clock has not jumped
+	is.Equal(later.Sub(now), time.Second)
+	holders := x.Holders(later, 1, 2, nil)
+	is.Equal(len(holders), 1)
+	is.Equal(holders[0].Age, time.Second)
+}
