forward: a backend server whose address another takes at once has ended

Callers saw: a call that ends the servers that run it went on ending them (118 in 5 s, 42 later than ContactMs after the third, none refused) where another instance stood at the address before the router looked. Cause: the end of a server was told from a refused connection alone. Why it works: the view names the instance at each address, so another name at the address proves the end. Ruled out: probing the address with another request, which reaches a server once more and is priced.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -6,6 +6,7 @@
 	"errors"
 	"expvar"
 	"io"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -17,6 +18,7 @@
 	"parsleypulley/internal/prefix"
 	"parsleypulley/internal/quarantine"
 	"parsleypulley/internal/routing"
+	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
 
@@ -32,6 +34,11 @@
 	crashCountWait = 100 * time.Millisecond
 	// crashReportTimeout limits the attempts to report a crash. It covers an election.
 	crashReportTimeout = 10 * time.Second
+	// replacementTimeout is how long after an attempt broke off another backend server at
+	// the same address is taken for proof that the first one ended. It covers the time until
+	// the other one has registered itself. maxBrokenOff limits the attempts remembered.
+	replacementTimeout = 5 * time.Second
+	maxBrokenOff       = 256
 	// quarantineRetryAfter is the Retry-After time of quarantined calls: it is of no use to
 	// come back soon.
 	quarantineRetryAfter = time.Minute
@@ -47,6 +54,16 @@
 	reporter *crashreport.Reporter
 	mu       sync.Mutex
 	suspects suspects
+	// brokenOff holds the attempts that broke off while something listened at the address
+	// of their backend server, the oldest first.
+	brokenOff []brokenOff
+}
+
+// brokenOff is an attempt whose backend server may have ended.
+type brokenOff struct {
+	at      time.Time
+	address string
+	report  *wire.CrashReport
 }
 
 func newCrashGuard(reporter *crashreport.Reporter) *crashGuard {
@@ -84,6 +101,37 @@
 	}
 }
 
+// addBrokenOff remembers an attempt that broke off, until the view tells whether another
+// backend server has taken the place of its own.
+func (g *crashGuard) addBrokenOff(now time.Time, address string, report *wire.CrashReport) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.brokenOff) >= maxBrokenOff {
+		g.brokenOff = slices.Delete(g.brokenOff, 0, 1)
+	}
+	g.brokenOff = append(g.brokenOff, brokenOff{now, address, report})
+}
+
+// replaced returns the reports of the attempts that broke off since their backend server
+// ended: another one has its address in the view.
+func (g *crashGuard) replaced(now time.Time, s *view.Snapshot) []*wire.CrashReport {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.brokenOff) == 0 {
+		return nil
+	}
+	addresses := backendAddresses(s)
+	var reports []*wire.CrashReport
+	g.brokenOff = slices.DeleteFunc(g.brokenOff, func(b brokenOff) bool {
+		if s.Member(b.report.GetBackend()) == nil && addresses[b.address] {
+			reports = append(reports, b.report)
+			return true
+		}
+		return now.Sub(b.at) >= replacementTimeout
+	})
+	return reports
+}
+
 // completed clears a suspected call, which has run to its end.
 func (g *crashGuard) completed(key quarantine.Key, requestID string) {
 	g.mu.Lock()
@@ -171,15 +219,25 @@
 // checkCrash finds out whether the backend server of an attempt that broke off has ended,
 // and counts that against the call.
 func (c *forwardedCall) checkCrash(d *routing.Decision, err error) {
-	if !connectionEnded(err) || c.ctx.Err() != nil || !c.f.backendEnded(c.ctx, d.Backend.GetAddress(), endSettleTime) {
+	if !connectionEnded(err) || c.ctx.Err() != nil {
 		return
 	}
 	key := c.quarantineKey()
+	report := &wire.CrashReport{Account: key.Account, Fingerprint: []byte(key.Fingerprint), RequestId: c.call.ID,
+		Attempt: uint32(c.AttemptCount()), Backend: d.Backend.GetName(), EngineIncarnation: d.Backend.GetEngineIncarnation()}
+	if !c.f.backendEnded(c.ctx, d.Backend.GetAddress(), endSettleTime) {
+		c.f.crashes.addBrokenOff(time.Now(), d.Backend.GetAddress(), report)
+		return
+	}
+	c.f.countCrash(report)
+}
+
+// countCrash logs and counts the crash of a report, as recordCrash does.
+func (f *Forwarder) countCrash(report *wire.CrashReport) {
 	crashes.Add("ended", 1)
-	event.BackendEndedUnderCall(event.Crash{Request: c.call.ID, Account: key.Account, Backend: d.Backend.GetName(),
-		Incarnation: d.Backend.GetEngineIncarnation(), Fingerprint: hex.EncodeToString([]byte(key.Fingerprint))})
-	c.f.crashes.recordCrash(time.Now(), &wire.CrashReport{Account: key.Account, Fingerprint: []byte(key.Fingerprint), RequestId: c.call.ID,
-		Attempt: uint32(c.AttemptCount()), Backend: d.Backend.GetName(), EngineIncarnation: d.Backend.GetEngineIncarnation()})
+	event.BackendEndedUnderCall(event.Crash{Request: report.GetRequestId(), Account: report.GetAccount(), Backend: report.GetBackend(),
+		Incarnation: report.GetEngineIncarnation(), Fingerprint: hex.EncodeToString(report.GetFingerprint())})
+	f.crashes.recordCrash(time.Now(), report)
 }
 
 // connectionEnded reports whether an error says that the peer closed or reset a connection
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -17,6 +17,7 @@
 
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/quarantine"
+	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
 
@@ -178,6 +179,35 @@
 	is.True(!r.f.backendEnded(context.Background(), living.Addr().String(), time.Millisecond))
 }
 
+// Ends of backend servers whose address another one takes at once were not counted: there
+// was always one that listened.
+func TestReplacedBackendCountsAsEnded(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	snapshot := func(members ...*wire.Member) *view.Snapshot {
+		s, err := view.FromMessage(&wire.View{Members: members})
+		is.NoErr(err)
+		return s
+	}
+	at := func(name, address string) *wire.Member {
+		return &wire.Member{Backend: &wire.Backend{Name: name, Address: address}}
+	}
+	g := newCrashGuard(nil)
+	g.addBrokenOff(now, "a:1", &wire.CrashReport{Backend: "i-1"})
+	g.addBrokenOff(now, "a:2", &wire.CrashReport{Backend: "i-2"})
+	is.Equal(len(g.replaced(now, snapshot(at("i-1", "a:1"), at("i-2", "a:2")))), 0) // both live
+	is.Equal(len(g.replaced(now, snapshot(at("i-1", "a:1")))), 0)                   // gone, and nobody took its place
+	reports := g.replaced(now.Add(time.Second), snapshot(at("i-1", "a:1"), at("i-3", "a:2")))
+	is.Equal(len(reports), 1)
+	is.Equal(reports[0].GetBackend(), "i-2")
+	g.replaced(now.Add(replacementTimeout), snapshot(at("i-1", "a:1")))
+	is.Equal(len(g.brokenOff), 0) // forgotten
+	for range maxBrokenOff + 1 {
+		g.addBrokenOff(now, "a:1", &wire.CrashReport{Backend: "i-1"})
+	}
+	is.Equal(len(g.brokenOff), maxBrokenOff)
+}
+
 func TestSuspects(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -113,6 +113,9 @@
 		f.selector.setView(time.Now(), s)
 		f.storeMonitor.watchStores(ctx, s)
 		viewLogger.setView(s)
+		for _, report := range f.crashes.replaced(time.Now(), s) {
+			go f.countCrash(report)
+		}
 		select {
 		case <-ctx.Done():
 			return
