--- a/internal/event/call.go
+++ b/internal/event/call.go
@@ -189,9 +189,9 @@
 }
 
 // BackendEndedUnderCall logs that a backend server without an agent ended while it ran a
-// forwarded call.
-func BackendEndedUnderCall(c Crash) {
-	log.WithFields(c.fields()).Warn("backend server ended under a call")
+// forwarded call. parts identify the parts of the call's prompt that others may share.
+func BackendEndedUnderCall(c Crash, parts []string) {
+	log.WithFields(c.fields()).WithField("parts", strings.Join(parts[:min(len(parts), maxLoggedParts)], ",")).Warn("backend server ended under a call")
 }
 
 // CrashReportFailed logs that the crash of an engine during a call could not be
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -114,6 +114,9 @@
 	Fingerprint string
 }
 
+// maxLoggedParts limits the parts of a prompt that a line names.
+const maxLoggedParts = 16
+
 func (c Crash) fields() log.Fields {
 	return log.Fields{"request": c.Request, "account": c.Account, "backend": c.Backend, "incarnation": c.Incarnation, "fingerprint": c.Fingerprint}
 }
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -64,6 +64,7 @@
 	at      time.Time
 	address string
 	report  *wire.CrashReport
+	parts   []string
 }
 
 func newCrashGuard(reporter *crashreport.Reporter) *crashGuard {
@@ -103,33 +104,33 @@
 
 // addBrokenOff remembers an attempt that broke off, until the view tells whether another
 // backend server has taken the place of its own.
-func (g *crashGuard) addBrokenOff(now time.Time, address string, report *wire.CrashReport) {
+func (g *crashGuard) addBrokenOff(now time.Time, address string, report *wire.CrashReport, parts []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.brokenOff) >= maxBrokenOff {
 		g.brokenOff = slices.Delete(g.brokenOff, 0, 1)
 	}
-	g.brokenOff = append(g.brokenOff, brokenOff{now, address, report})
+	g.brokenOff = append(g.brokenOff, brokenOff{now, address, report, parts})
 }
 
-// replaced returns the reports of the attempts that broke off since their backend server
+// replaced returns the attempts that broke off since their backend server
 // ended: another one has its address in the view.
-func (g *crashGuard) replaced(now time.Time, s *view.Snapshot) []*wire.CrashReport {
+func (g *crashGuard) replaced(now time.Time, s *view.Snapshot) []brokenOff {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.brokenOff) == 0 {
 		return nil
 	}
 	addresses := backendAddresses(s)
-	var reports []*wire.CrashReport
+	var found []brokenOff
 	g.brokenOff = slices.DeleteFunc(g.brokenOff, func(b brokenOff) bool {
 		if s.Member(b.report.GetBackend()) == nil && addresses[b.address] {
-			reports = append(reports, b.report)
+			found = append(found, b)
 			return true
 		}
 		return now.Sub(b.at) >= replacementTimeout
 	})
-	return reports
+	return found
 }
 
 // completed clears a suspected call, which has run to its end.
@@ -211,6 +212,24 @@
 	return quarantine.Key{Account: account, Fingerprint: string(c.fingerprint)}
 }
 
+// maxSuspectParts limits the parts of one prompt that are suspected when a backend server
+// ends. The parts behind them are not.
+const maxSuspectParts = 32
+
+// sharedParts returns the fingerprints of the parts of the prompt that other calls may have
+// too: all but the last.
+func (c *forwardedCall) sharedParts() [][]byte {
+	if !c.route.GetPrompts() {
+		return nil
+	}
+	parts := c.call.PromptParts
+	var fingerprints [][]byte
+	for _, part := range parts[:min(max(len(parts)-1, 0), maxSuspectParts)] {
+		fingerprints = append(fingerprints, quarantine.PartFingerprint(c.accountSalt, part.ID))
+	}
+	return fingerprints
+}
+
 // quarantined reports whether the call must not be sent to any backend server.
 func (c *forwardedCall) quarantined() bool {
 	return !c.f.crashes.idle() && c.f.crashes.reporter.Quarantined(c.quarantineKey())
@@ -226,17 +245,25 @@
 	report := &wire.CrashReport{Account: key.Account, Fingerprint: []byte(key.Fingerprint), RequestId: c.call.ID,
 		Attempt: uint32(c.AttemptCount()), Backend: d.Backend.GetName(), EngineIncarnation: d.Backend.GetEngineIncarnation()}
 	if !c.f.backendEnded(c.ctx, d.Backend.GetAddress(), endSettleTime) {
-		c.f.crashes.addBrokenOff(time.Now(), d.Backend.GetAddress(), report)
+		c.f.crashes.addBrokenOff(time.Now(), d.Backend.GetAddress(), report, hexStrings(c.sharedParts()))
 		return
 	}
-	c.f.countCrash(report)
+	c.f.countCrash(report, hexStrings(c.sharedParts()))
+}
+
+func hexStrings(values [][]byte) []string {
+	texts := make([]string, len(values))
+	for i, value := range values {
+		texts[i] = hex.EncodeToString(value)
+	}
+	return texts
 }
 
 // countCrash logs and counts the crash of a report, as recordCrash does.
-func (f *Forwarder) countCrash(report *wire.CrashReport) {
+func (f *Forwarder) countCrash(report *wire.CrashReport, parts []string) {
 	crashes.Add("ended", 1)
 	event.BackendEndedUnderCall(event.Crash{Request: report.GetRequestId(), Account: report.GetAccount(), Backend: report.GetBackend(),
-		Incarnation: report.GetEngineIncarnation(), Fingerprint: hex.EncodeToString(report.GetFingerprint())})
+		Incarnation: report.GetEngineIncarnation(), Fingerprint: hex.EncodeToString(report.GetFingerprint())}, parts)
 	f.crashes.recordCrash(time.Now(), report)
 }
 
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -193,17 +193,17 @@
 		return &wire.Member{Backend: &wire.Backend{Name: name, Address: address}}
 	}
 	g := newCrashGuard(nil)
-	g.addBrokenOff(now, "a:1", &wire.CrashReport{Backend: "i-1"})
-	g.addBrokenOff(now, "a:2", &wire.CrashReport{Backend: "i-2"})
+	g.addBrokenOff(now, "a:1", &wire.CrashReport{Backend: "i-1"}, nil)
+	g.addBrokenOff(now, "a:2", &wire.CrashReport{Backend: "i-2"}, nil)
 	is.Equal(len(g.replaced(now, snapshot(at("i-1", "a:1"), at("i-2", "a:2")))), 0) // both live
 	is.Equal(len(g.replaced(now, snapshot(at("i-1", "a:1")))), 0)                   // gone, and nobody took its place
 	reports := g.replaced(now.Add(time.Second), snapshot(at("i-1", "a:1"), at("i-3", "a:2")))
 	is.Equal(len(reports), 1)
-	is.Equal(reports[0].GetBackend(), "i-2")
+	is.Equal(reports[0].report.GetBackend(), "i-2")
 	g.replaced(now.Add(replacementTimeout), snapshot(at("i-1", "a:1")))
 	is.Equal(len(g.brokenOff), 0) // forgotten
 	for range maxBrokenOff + 1 {
-		g.addBrokenOff(now, "a:1", &wire.CrashReport{Backend: "i-1"})
+		g.addBrokenOff(now, "a:1", &wire.CrashReport{Backend: "i-1"}, nil)
 	}
 	is.Equal(len(g.brokenOff), maxBrokenOff)
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -113,8 +113,8 @@
 		f.selector.setView(time.Now(), s)
 		f.storeMonitor.watchStores(ctx, s)
 		viewLogger.setView(s)
-		for _, report := range f.crashes.replaced(time.Now(), s) {
-			go f.countCrash(report)
+		for _, b := range f.crashes.replaced(time.Now(), s) {
+			go f.countCrash(b.report, b.parts)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -32,6 +32,20 @@
 	return append([]byte{sharedMark}, fingerprint[:]...)
 }
 
+// partMark precedes the fingerprint of a part of prompts.
+const partMark = 'p'
+
+// partDigestBytes is the length of the digest that identifies a part of prompts.
+const partDigestBytes = 16
+
+// PartFingerprint identifies a part of prompts for the quarantine. scope is what the part is
+// recognised within: accounts that share cached state share their parts. It is collision
+// resistant, so that a client account can't get a part of others quarantined.
+func PartFingerprint(scope, part string) []byte {
+	digest := sha256.Sum256(fmt.Appendf(nil, "%d %s %s", len(scope), scope, part))
+	return append([]byte{partMark}, digest[:partDigestBytes]...)
+}
+
 // crashLimit returns the number of distinct crashes after which requests with the
 // fingerprint are quarantined.
 func crashLimit(fingerprint []byte) uint32 {
