--- a/internal/crashreport/fleet_test.go
+++ b/internal/crashreport/fleet_test.go
@@ -69,19 +69,24 @@
 		{name: "beside a flood of distinct parts", crashingParts: x, share: 0.05, depth: 1, sessions: 40, distinctParts: 40},
 		{name: "while there is no leader", crashingParts: x, share: 0.05, depth: 1, sessions: 40, leaderless: 3 * time.Second},
 	} {
-		t.Run(p.name, func(t *testing.T) {
-			for seed := range uint64(seeds) {
-				f := playFleet(t, seed, p)
-				t.Logf("seed %d: %v", seed, f)
-				f.check(t)
-				if t.Failed() {
-					return
-				}
-			}
-		})
+		p.play(t)
 	}
 }
 
+// play plays a pattern with several seeds and checks each run.
+func (p pattern) play(t *testing.T) {
+	t.Run(p.name, func(t *testing.T) {
+		for seed := range uint64(seeds) {
+			f := playFleet(t, seed, p)
+			t.Logf("seed %d: %v", seed, f)
+			f.check(t)
+			if t.Failed() {
+				return
+			}
+		}
+	})
+}
+
 // Calls must not be refused for what they have in common with others when engines crash for
 // other reasons.
 func TestCrashesOfOtherCausesQuarantineNothing(t *testing.T) {
@@ -92,16 +97,7 @@
 		{name: "contexts used once", sessions: 100000, crashEvery: 500 * time.Millisecond, crashSize: 1},
 		{name: "a flood of distinct parts", sessions: 40, crashEvery: 500 * time.Millisecond, crashSize: 1, distinctParts: 40},
 	} {
-		t.Run(p.name, func(t *testing.T) {
-			for seed := range uint64(seeds) {
-				f := playFleet(t, seed, p)
-				t.Logf("seed %d: %v", seed, f)
-				f.check(t)
-				if t.Failed() {
-					return
-				}
-			}
-		})
+		p.play(t)
 	}
 }
 
--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -14,12 +14,8 @@
 // usually tells them apart.
 const tiedCrashLimit = 2
 
-const (
-	// minShareOfCrashes is the share of the recent crashes, as a divisor, that a part must
-	// have been at, and certainCrashes the number of counted crashes that needs no share.
-	minShareOfCrashes = 2
-	certainCrashes    = 3 * PartCrashLimit
-)
+// certainCrashes is the number of counted crashes at which a part can't be by chance.
+const certainCrashes = 3 * PartCrashLimit
 
 // judge decides which of the requests and parts that can't be run apart are quarantined.
 // It looks for the fewest causes that explain the crashes:
