--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -270,3 +270,82 @@
 	is.NoErr(err)
 	is.Equal(status, 200)
 }
+
+// partEvent returns the event that quarantines a part of the prompts of the account indus, or
+// suspects it.
+func partEvent(part string, suspect bool) *wire.ViewEvent {
+	key := quarantine.PromptParts("indus", []string{part, ""})[0]
+	return &wire.ViewEvent{Body: &wire.ViewEvent_Quarantine{Quarantine: &wire.QuarantineEntry{Account: key.Account, Fingerprint: []byte(key.Fingerprint), Crashes: 4, Suspect: suspect}}}
+}
+
+// Calls that wait at a backend server with a part of their prompt that is quarantined would
+// end it one after the other; others must go on there.
+func TestWaitingCallsEndWhenTheirPartIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	var waiting, cancelled atomic.Int32
+	answer := make(chan struct{})
+	r := newFixture(t, forwardRoute(func(r *wire.ForwardRoute) { r.Prompts = true }), startBackend(t, func(c net.Conn, r *http.Request) {
+		waiting.Add(1)
+		gone := make(chan struct{})
+		go func() {
+			_, _ = c.Read(make([]byte, 1)) // ends when the connection does
+			close(gone)
+		}()
+		select {
+		case <-gone:
+			cancelled.Add(1)
+		case <-answer:
+			writeResponse(c, r, 200, "", "whole")
+		}
+	}))
+	statuses := map[string]chan int{}
+	for _, parts := range []string{"opening,x,last", "x,last", "opening,context,x"} {
+		status := make(chan int, 1)
+		statuses[parts] = status
+		go func() {
+			got, _, _, err := r.call("Call", parts, "Parts", parts)
+			if err != nil {
+				got = 0
+			}
+			status <- got
+		}()
+	}
+	for end := time.Now().Add(5 * time.Second); waiting.Load() < 3 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	}
+	is.Equal(waiting.Load(), int32(3))
+	r.appendEvent(partEvent("context", true)) // no more than a suspicion
+	r.appendEvent(partEvent("x", false))
+	refused := fault.Quarantined.Response().Status
+	is.Equal(<-statuses["opening,x,last"], refused)
+	is.Equal(<-statuses["x,last"], refused)
+	close(answer)
+	is.Equal(<-statuses["opening,context,x"], 200) // the last part is that of the call alone
+	is.Equal(cancelled.Load(), int32(2))
+	status, _, _, err := r.call("Call", "later", "Parts", "x,another last")
+	is.NoErr(err)
+	is.Equal(status, refused) // not sent at all
+	is.Equal(waiting.Load(), int32(3))
+}
+
+// What a served call had in its prompt did not end a backend server, whoever suspects it.
+func TestServedPartsAreCleared(t *testing.T) {
+	is := is.New(t)
+	r := newFixture(t, forwardRoute(func(r *wire.ForwardRoute) { r.Prompts = true }), startBackend(t, func(c net.Conn, r *http.Request) {
+		writeResponse(c, r, 200, "", "whole")
+	}))
+	r.appendEvent(partEvent("opening", true))
+	r.appendEvent(partEvent("other", true))
+	status, _, _, err := r.call("Parts", "opening,last")
+	is.NoErr(err)
+	is.Equal(status, 200)
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, cleared := r.control.counted(); cleared > 0 {
+			break
+		}
+	}
+	_, cleared := r.control.counted()
+	is.Equal(cleared, 1)
+	r.control.mu.Lock()
+	defer r.control.mu.Unlock()
+	is.Equal(string(r.control.reports[0].GetFingerprint()), quarantine.PromptParts("indus", []string{"opening", ""})[0].Fingerprint)
+}
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -27,7 +27,13 @@
 type testDialect struct{}
 
 func (testDialect) ReadCall(r *http.Request) (*Call, error) {
-	return &Call{ID: r.Header.Get("Call"), APIKey: r.Header.Get("Key"), LastEventID: r.Header.Get("After")}, nil
+	call := &Call{ID: r.Header.Get("Call"), APIKey: r.Header.Get("Key"), LastEventID: r.Header.Get("After")}
+	if parts := r.Header.Get("Parts"); parts != "" {
+		for id := range strings.SplitSeq(parts, ",") {
+			call.PromptParts = append(call.PromptParts, PromptPart{ID: id, Tokens: 100})
+		}
+	}
+	return call, nil
 }
 
 func (testDialect) PrepareAttempt(h http.Header, a *Attempt) {
