Tests: the view's quarantined requests are counted without suspected parts

TestConcurrentRequestsOfCrashingRequestAreNotQuarantined failed once (2, expected 1) beside other packages, and twice in 36 runs three at a time. Traced: the second entry is a suspected part, the opening that all calls of the test share, until the served calls have cleared it. The test took each entry of the view for a quarantine, which was true before the view had suspects. It counts quarantines now, of requests and of parts: as strict as before.

--- a/internal/router/fault_test.go
+++ b/internal/router/fault_test.go
@@ -304,5 +304,5 @@
 	for _, status := range statuses {
 		is.Equal(status, 200)
 	}
-	is.Equal(len(s.machine.Log().Snapshot().Quarantine()), 1)
+	is.Equal(s.machine.Log().Snapshot().QuarantinedCount(), 1)
 }
--- a/internal/view/log_test.go
+++ b/internal/view/log_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"parsleypulley/internal/quarantine"
 	"parsleypulley/internal/wire"
 )
 
@@ -271,3 +272,26 @@
 	}
 	b.ReportMetric(float64(proto.Size(v)), "bytes/view")
 }
+
+// The view has suspected parts of prompts too, which must not be refused.
+func TestSuspectsAreNotQuarantined(t *testing.T) {
+	is := is.New(t)
+	entry := func(fingerprint string, crashes uint32, suspect bool) *wire.ViewEvent {
+		return &wire.ViewEvent{Body: &wire.ViewEvent_Quarantine{Quarantine: &wire.QuarantineEntry{Account: "a", Fingerprint: []byte(fingerprint), Crashes: crashes, Suspect: suspect}}}
+	}
+	s := Empty()
+	for i, event := range []*wire.ViewEvent{entry("request", 2, false), entry("part", 2, true), entry("another", 1, true), entry("another", 0, false)} {
+		event.Version = uint64(i + 1)
+		next, err := s.With(event)
+		is.NoErr(err)
+		s = next
+	}
+	is.True(s.Quarantined("a", []byte("request")))
+	is.True(!s.Quarantined("a", []byte("part")))
+	is.Equal(s.QuarantinedCount(), 1)
+	is.Equal(s.QuarantineEntry(quarantine.Key{Account: "a", Fingerprint: "part"}).GetCrashes(), uint32(2))
+	is.True(s.QuarantineEntry(quarantine.Key{Account: "a", Fingerprint: "another"}) == nil)
+	found, err := s.With(&wire.ViewEvent{Version: 5, Body: entry("part", 4, false).Body})
+	is.NoErr(err)
+	is.True(found.Quarantined("a", []byte("part")))
+}
