crashreport: a router's own counts of crashes serve both request paths

Callers saw, with agents: while the control replicas were out of reach, a request crashed two more engines each time it came. TestCrashingRequestIsRefusedWhileControlIsOutOfReach: 8 engines crashed by four calls before, 2 after. The counts moved to the reporter that both paths share, with their test.

--- a/internal/crashreport/parts.go
+++ b/internal/crashreport/parts.go
@@ -56,7 +56,7 @@
 // and logs what is now quarantined. It must be called with each new view. It reports whether
 // a quarantine of a part is new, which becomes effective after PartConfirmTime.
 func (r *Reporter) ApplyView(s *view.Snapshot) (newPart bool) {
-	r.expireRecent(time.Now(), s.Version)
+	r.Expire(time.Now(), s.Version)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	inForce := map[quarantine.Key]time.Time{}
--- a/internal/crashreport/reporter.go
+++ b/internal/crashreport/reporter.go
@@ -40,6 +40,8 @@
 	views   *view.Store
 
 	mu sync.Mutex
+	// suspects counts the crashes that this router has seen itself.
+	suspects suspects
 	// recent holds the results of own reports that the view may not contain yet.
 	recent map[quarantine.Key]recentResult
 	// batch holds the reports that wait to be proposed; nil if there are none.
@@ -64,18 +66,19 @@
 
 // New returns a Reporter that proposes to control and knows the quarantine of views.
 func New(control Proposer, views *view.Store) *Reporter {
-	return &Reporter{control: control, views: views, recent: map[quarantine.Key]recentResult{}, statements: map[quarantine.Key]*wire.CrashReport{},
+	return &Reporter{control: control, views: views, suspects: suspects{}, recent: map[quarantine.Key]recentResult{}, statements: map[quarantine.Key]*wire.CrashReport{},
 		inForce: map[quarantine.Key]time.Time{}}
 }
 
-// Empty reports whether no request and no part of prompts is suspected or quarantined.
+// Empty reports whether no request and no part of prompts is suspected or quarantined, so
+// that requests need no fingerprint.
 func (r *Reporter) Empty() bool {
 	if len(r.views.Load().Quarantine()) > 0 {
 		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.recent) == 0
+	return len(r.recent) == 0 && len(r.suspects) == 0
 }
 
 // Quarantined reports whether the request or the part of prompts with one of the keys is
@@ -129,12 +132,6 @@
 	return recent, ok && (recent.viewVersion == 0 || s.Version < recent.viewVersion)
 }
 
-// Quarantine makes a quarantine effective at this router alone, until the control replicas
-// can be told.
-func (r *Reporter) Quarantine(key quarantine.Key) {
-	r.setRecent(key, recentResult{quarantined: true})
-}
-
 func (r *Reporter) setRecent(key quarantine.Key, result recentResult) {
 	result.expires = time.Now().Add(recentTTL)
 	r.mu.Lock()
@@ -142,10 +139,12 @@
 	r.recent[key] = result
 }
 
-// expireRecent forgets the results that the view contains or that are old.
-func (r *Reporter) expireRecent(now time.Time, version uint64) {
+// Expire forgets the results that the view contains or that are old, and the crashes that
+// the control replicas have forgotten too. version is that of the view.
+func (r *Reporter) Expire(now time.Time, version uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.suspects.expire(now)
 	for key, recent := range r.recent {
 		if !now.Before(recent.expires) || recent.viewVersion != 0 && version >= recent.viewVersion {
 			delete(r.recent, key)
@@ -154,18 +153,34 @@
 }
 
 // Report reports crashes to the control replicas and returns the result of the first report,
-// or nil if it is not committed within timeout. The results are effective at once. Report
-// does not depend on the call during which the engine crashed: the crash must be counted
-// even if the caller disconnects.
+// or nil if it is not committed within timeout; the attempts to commit it go on. The results
+// are effective at once. While the control replicas can't be told, the crashes that this
+// router has seen itself count. Report does not depend on the call during which the engine
+// crashed: the crash must be counted even if the caller disconnects.
 func (r *Reporter) Report(timeout time.Duration, reports ...*wire.CrashReport) *wire.CrashResult {
-	b, index := r.join(reports)
+	first := reports[0]
+	b, index, own := r.join(reports)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
+	var result *wire.CrashResult
 	select {
 	case <-b.done:
-		return b.results[index]
+		result = b.results[index]
 	case <-timer.C:
-		return nil
+	}
+	if result == nil && own >= quarantine.CrashLimitOf(first.GetFingerprint()) {
+		r.setRecent(quarantine.Key{Account: first.GetAccount(), Fingerprint: string(first.GetFingerprint())}, recentResult{quarantined: true})
+	}
+	return result
+}
+
+// Completed clears a request that has run to its end, if this router suspects it.
+func (r *Reporter) Completed(key quarantine.Key, requestID string) {
+	r.mu.Lock()
+	known := r.suspects.remove(key)
+	r.mu.Unlock()
+	if known {
+		go r.Clear(proposeTimeout, key, requestID)
 	}
 }
 
@@ -192,11 +207,15 @@
 	incarnation uint64
 }
 
-// join adds reports to the batch that is gathered, and returns the batch and the index of
-// the first report.
-func (r *Reporter) join(reports []*wire.CrashReport) (*batch, int) {
+// join adds reports to the batch that is gathered. It returns the batch, the index of the
+// first report, and how many crashes this router has seen under its request.
+func (r *Reporter) join(reports []*wire.CrashReport) (b *batch, first, own int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if report := reports[0]; report.GetBackend() != "" && !quarantine.IsPart(report.GetFingerprint()) {
+		key := quarantine.Key{Account: report.GetAccount(), Fingerprint: string(report.GetFingerprint())}
+		own = r.suspects.add(time.Now(), key, quarantine.CrashID(report))
+	}
 	if b := r.batch; b != nil && len(b.reports)+len(reports) > maxBatch {
 		r.batch = nil // its timer proposes it
 	}
@@ -205,11 +224,11 @@
 		r.batch = b
 		time.AfterFunc(batchDelay, func() { r.propose(b) })
 	}
-	first := r.batch.add(reports[0])
+	first = r.batch.add(reports[0])
 	for _, report := range reports[1:] {
 		r.batch.add(report)
 	}
-	return r.batch, first
+	return r.batch, first, own
 }
 
 // add adds a report and returns its index. Several calls may have had the same part of their
--- a/internal/crashreport/reporter_test.go
+++ b/internal/crashreport/reporter_test.go
@@ -103,15 +103,36 @@
 		is.NoErr(views.Append(&wire.ViewEvent{Version: 2, Body: &wire.ViewEvent_Fencing{Fencing: 2}}))
 		is.True(!r.Quarantined(key)) // the view is as new as the result and does not have it
 		r.ApplyView(views.Snapshot())
-		is.True(r.Empty())
+		is.True(!r.Quarantined(key))
+		is.Equal(len(r.recent), 0)
+	})
+}
 
-		control.down = true
-		is.True(r.Report(time.Second, callReport(0)) == nil)
-		r.Quarantine(key)
-		is.True(r.Quarantined(key)) // known here alone
+// While control can't be told, a router goes by the crashes that it has seen itself.
+func TestOwnCrashesCountWhileControlIsOutOfReach(t *testing.T) {
+	log.SetHandler(discard.New())
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		views := view.NewLog(view.DefaultLogLimits())
+		r := New(&recorder{down: true}, views.Store())
+		key := quarantine.Key{Account: "a", Fingerprint: "call 0"}
+		for incarnation := range quarantine.CrashLimit {
+			is.True(!r.Quarantined(key))
+			for range 2 { // one crash, seen by two attempts
+				report := callReport(0)
+				report.EngineIncarnation = uint64(incarnation)
+				is.True(r.Report(time.Second, report) == nil)
+			}
+		}
+		is.True(r.Quarantined(key))
+		r.Completed(quarantine.Key{Account: "a", Fingerprint: "another"}, "r")
+		is.True(!r.Empty())
 		time.Sleep(recentTTL)
 		r.ApplyView(views.Snapshot())
 		is.True(!r.Quarantined(key))
+		r.Completed(key, "r")
+		is.True(r.Empty())
+		time.Sleep(2 * batchDelay) // until the clearing has been tried
 	})
 }
 
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -7,7 +7,6 @@
 	"expvar"
 	"io"
 	"slices"
-	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -32,8 +31,6 @@
 	// crashCountWait limits how long a call waits until its crash is counted. It covers a
 	// commit of the control replicas while they have a leader.
 	crashCountWait = 100 * time.Millisecond
-	// crashReportTimeout limits the attempts to report a crash. It covers an election.
-	crashReportTimeout = 10 * time.Second
 	// answerProofTime is how long a backend server must have gone on after the first event
 	// of an answer to prove that the parts of the prompt did not end it.
 	answerProofTime = 500 * time.Millisecond
@@ -62,7 +59,6 @@
 type crashGuard struct {
 	reporter *crashreport.Reporter
 	mu       sync.Mutex
-	suspects suspects
 	// brokenOff holds the attempts that broke off while something listened at the address
 	// of their backend server, the oldest first.
 	brokenOff []brokenOff
@@ -79,15 +75,7 @@
 }
 
 func newCrashGuard(reporter *crashreport.Reporter) *crashGuard {
-	return &crashGuard{reporter: reporter, suspects: suspects{}, waiting: map[*forwardedCall]context.CancelCauseFunc{}}
-}
-
-// idle reports whether no call and no part of prompts is suspected or quarantined, so that
-// calls need no fingerprint.
-func (g *crashGuard) idle() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return len(g.suspects) == 0 && g.reporter.Empty()
+	return &crashGuard{reporter: reporter, waiting: map[*forwardedCall]context.CancelCauseFunc{}}
 }
 
 // errPartQuarantined is the cause of the end of attempts that wait at a backend server when a
@@ -122,28 +110,6 @@
 	}
 }
 
-// recordCrash counts a crash against a call and the parts of its prompt, and returns once it
-// is counted, but after at most crashCountWait.
-func (g *crashGuard) recordCrash(now time.Time, reports []*wire.CrashReport) {
-	call := reports[0]
-	key := quarantine.Key{Account: call.GetAccount(), Fingerprint: string(call.GetFingerprint())}
-	g.mu.Lock()
-	own := g.suspects.add(now, key, call.GetBackend()+"/"+strconv.FormatUint(call.GetEngineIncarnation(), 10))
-	g.mu.Unlock()
-	counted := make(chan *wire.CrashResult, 1)
-	go func() { counted <- g.reporter.Report(crashReportTimeout, reports...) }()
-	timer := time.NewTimer(crashCountWait)
-	defer timer.Stop()
-	var result *wire.CrashResult
-	select {
-	case result = <-counted:
-	case <-timer.C:
-	}
-	if result == nil && own >= quarantine.SharedCrashLimit {
-		g.reporter.Quarantine(key) // control can't be reached
-	}
-}
-
 // addBrokenOff remembers an attempt that broke off, until the view tells whether another
 // backend server has taken the place of its own.
 func (g *crashGuard) addBrokenOff(now time.Time, address string, reports []*wire.CrashReport) {
@@ -175,71 +141,6 @@
 	return found
 }
 
-// completed clears a suspected call, which has run to its end.
-func (g *crashGuard) completed(key quarantine.Key, requestID string) {
-	g.mu.Lock()
-	known := g.suspects.remove(key)
-	g.mu.Unlock()
-	if known {
-		go g.reporter.Clear(crashReportTimeout, key, requestID)
-	}
-}
-
-// expire forgets suspects whose counts have expired at the control replicas too.
-func (g *crashGuard) expire(now time.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.suspects.expire(now)
-}
-
-// suspects holds the calls under which this router has seen backend servers end and that
-// have not completed since.
-type suspects map[quarantine.Key]*suspect
-
-type suspect struct {
-	// crashIDs identifies the runs of backend servers that have ended.
-	crashIDs map[string]bool
-	last     time.Time
-}
-
-// maxSuspects limits the number of suspects; further ones are counted by the control
-// replicas only.
-const maxSuspects = 1024
-
-// add records that a run of a backend server ended, and returns how many have ended under
-// the call.
-func (s suspects) add(now time.Time, key quarantine.Key, crashID string) int {
-	entry := s[key]
-	if entry == nil {
-		if len(s) >= maxSuspects {
-			return 0
-		}
-		entry = &suspect{crashIDs: map[string]bool{}}
-		s[key] = entry
-	}
-	entry.last = now
-	entry.crashIDs[crashID] = true
-	return len(entry.crashIDs)
-}
-
-// remove removes a suspect and reports whether it was one.
-func (s suspects) remove(key quarantine.Key) bool {
-	_, known := s[key]
-	delete(s, key)
-	return known
-}
-
-// expire removes the suspects that have seen no crash for as long as the control replicas
-// keep a count.
-func (s suspects) expire(now time.Time) {
-	ttl := quarantine.DefaultLimits().CrashTTL
-	for key, entry := range s {
-		if now.Sub(entry.last) >= ttl {
-			delete(s, key)
-		}
-	}
-}
-
 // quarantineKey returns the key by which the call is recognised when it comes again: its
 // account, method, target and body.
 func (c *forwardedCall) quarantineKey() quarantine.Key {
@@ -273,7 +174,7 @@
 // quarantined returns why the call must not be sent to any backend server; empty if it may.
 func (c *forwardedCall) quarantined() string {
 	switch {
-	case c.f.crashes.idle():
+	case c.f.crashes.reporter.Empty():
 	case c.f.crashes.reporter.Quarantined(c.quarantineKey()):
 		return callReason
 	case c.f.crashes.reporter.Quarantined(c.sharedParts()...):
@@ -286,7 +187,7 @@
 // sent.
 func (c *forwardedCall) recordKnownCrashes() {
 	c.answeredAt, c.knownCrashes = time.Time{}, nil
-	if !c.f.crashes.idle() {
+	if !c.f.crashes.reporter.Empty() {
 		c.knownCrashes = c.f.crashes.reporter.KnownCrashes(c.sharedParts())
 	}
 }
@@ -310,8 +211,9 @@
 	c.f.countCrash(reports)
 }
 
-// countCrash logs and counts the crash of reports, as recordCrash does. The first report is
-// that of the call, the others are those of the parts of its prompt.
+// countCrash logs the crash of reports and returns once it is counted, but after at most
+// crashCountWait. The first report is that of the call, the others are those of the parts of
+// its prompt.
 func (f *Forwarder) countCrash(reports []*wire.CrashReport) {
 	call, parts := reports[0], make([]string, len(reports)-1)
 	for i, report := range reports[1:] {
@@ -320,7 +222,7 @@
 	crashes.Add("ended", 1)
 	event.BackendEndedUnderCall(event.Crash{Request: call.GetRequestId(), Account: call.GetAccount(), Backend: call.GetBackend(),
 		Incarnation: call.GetEngineIncarnation(), Fingerprint: hex.EncodeToString(call.GetFingerprint())}, parts)
-	f.crashes.recordCrash(time.Now(), reports)
+	f.crashes.reporter.Report(crashCountWait, reports...)
 }
 
 // connectionEnded reports whether an error says that the peer closed or reset a connection
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -162,7 +162,7 @@
 	crashes, cleared := r.control.counted()
 	is.Equal(crashes, 1)
 	is.Equal(cleared, 1)
-	is.True(r.f.crashes.idle()) // further calls need no fingerprint
+	is.True(r.f.crashes.reporter.Empty()) // further calls need no fingerprint
 }
 
 // A process that ends may close its listener a little after its connections.
@@ -213,27 +213,6 @@
 	is.Equal(len(g.brokenOff), maxBrokenOff)
 }
 
-func TestSuspects(t *testing.T) {
-	is := is.New(t)
-	now := time.Unix(1000, 0)
-	s := suspects{}
-	key := quarantine.Key{Account: "a", Fingerprint: "f"}
-	is.Equal(s.add(now, key, "b1/1"), 1)
-	is.Equal(s.add(now, key, "b1/1"), 1) // one crash, seen by two attempts
-	is.Equal(s.add(now, key, "b1/2"), 2)
-	is.Equal(s.add(now, quarantine.Key{Account: "b", Fingerprint: "f"}, "b1/1"), 1)
-	is.True(s.remove(key))
-	is.True(!s.remove(key))
-	s.expire(now.Add(quarantine.DefaultLimits().CrashTTL - 1))
-	is.Equal(len(s), 1)
-	s.expire(now.Add(quarantine.DefaultLimits().CrashTTL))
-	is.Equal(len(s), 0)
-	for i := range maxSuspects + 10 {
-		s.add(now, quarantine.Key{Fingerprint: fmt.Sprint(i)}, "b1/1")
-	}
-	is.Equal(len(s), maxSuspects)
-}
-
 // A quarantined call is refused as not run only if no attempt can have run.
 func TestQuarantinedStep(t *testing.T) {
 	is := is.New(t)
@@ -260,7 +239,7 @@
 	c := &forwardedCall{r: &http.Request{Method: http.MethodPost, Host: "one.example", URL: &url.URL{Path: "/p/x"}}, account: &wire.Account{Name: "indus"}, body: []byte("body")}
 	key := c.quarantineKey()
 	r.appendEvent(&wire.ViewEvent{Body: &wire.ViewEvent_Quarantine{Quarantine: &wire.QuarantineEntry{Account: key.Account, Fingerprint: []byte(key.Fingerprint), Crashes: 3}}})
-	is.True(!r.f.crashes.idle())
+	is.True(!r.f.crashes.reporter.Empty())
 	status, _, _, err := r.call()
 	is.NoErr(err)
 	is.Equal(status, fault.Quarantined.Response().Status)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -126,7 +126,7 @@
 		case <-changed:
 		case now := <-ticker.C:
 			f.connPool.sweep(now, backendAddresses(s))
-			f.crashes.expire(now)
+			f.crashes.reporter.Expire(now, s.Version)
 			viewLogger.setFreshness(s, f.opts.Freshness())
 		}
 	}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -51,8 +51,8 @@
 func (c *forwardedCall) finish(err error) {
 	logEntry := c.logEntry()
 	if err == nil {
-		if !c.f.crashes.idle() {
-			c.f.crashes.completed(c.quarantineKey(), logEntry.Request)
+		if !c.f.crashes.reporter.Empty() {
+			c.f.crashes.reporter.Completed(c.quarantineKey(), logEntry.Request)
 		}
 		countCall(c.route, served)
 		c.f.shutdown.record(c.route.GetName(), time.Since(c.arrivedAt))
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -95,6 +95,12 @@
 	return PromptParts(account, ids)
 }
 
+// CrashLimitOf returns the number of crashes after which a request with the fingerprint is
+// quarantined.
+func CrashLimitOf(fingerprint []byte) int {
+	return int(crashLimit(&wire.QuarantineEntry{Fingerprint: fingerprint}))
+}
+
 // crashLimit returns the number of crashes that must be counted before the entry is
 // quarantined.
 func crashLimit(entry *wire.QuarantineEntry) uint32 {
@@ -250,8 +256,8 @@
 		old = nil
 	}
 	part := IsPart(report.GetFingerprint())
-	if report.GetBackend() != "" && !slices.Contains(t.recent, crashID(report)) {
-		t.recent = append(t.recent, crashID(report))
+	if report.GetBackend() != "" && !slices.Contains(t.recent, CrashID(report)) {
+		t.recent = append(t.recent, CrashID(report))
 		t.recent = t.recent[max(0, len(t.recent)-maxRecentCrashes):]
 	}
 	switch {
@@ -267,10 +273,10 @@
 		}
 	case part:
 		t.set(key, t.countPart(nowMS, old, report))
-	case isQuarantined(old) || slices.Contains(old.GetCrashIds(), crashID(report)):
+	case isQuarantined(old) || slices.Contains(old.GetCrashIds(), CrashID(report)):
 	default:
 		t.set(key, &wire.QuarantineEntry{Account: key.Account, Fingerprint: []byte(key.Fingerprint), Crashes: old.GetCrashes() + 1, SinceMs: nowMS,
-			CrashIds: appendCrash(old.GetCrashIds(), crashID(report)), Suspect: old.GetSuspect()})
+			CrashIds: appendCrash(old.GetCrashIds(), CrashID(report)), Suspect: old.GetSuspect()})
 	}
 }
 
@@ -282,7 +288,7 @@
 	}
 	entry.SinceMs = nowMS
 	entry.ServedBefore = entry.GetServedBefore() || report.GetServedBefore()
-	crash := crashID(report)
+	crash := CrashID(report)
 	if !slices.Contains(entry.GetCrashIds(), crash) {
 		entry.CrashIds = appendCrash(entry.GetCrashIds(), crash)
 	}
@@ -293,7 +299,8 @@
 	return entry
 }
 
-func crashID(report *wire.CrashReport) string {
+// CrashID identifies the crash of a report: an incarnation of an engine crashes once.
+func CrashID(report *wire.CrashReport) string {
 	return fmt.Sprintf("%s/%d", report.GetBackend(), report.GetEngineIncarnation())
 }
 
--- a/internal/router/crash.go
+++ b/internal/router/crash.go
@@ -26,7 +26,7 @@
 // clearCrash resets the crash count of a request that completed after a crash.
 func (c *call) clearCrash() {
 	key, requestID := c.plan.quarantineKey(), c.plan.req.ID
-	go c.router.crashes.Clear(crashReportTimeout, key, requestID)
+	c.router.crashes.Completed(key, requestID)
 }
 
 // sharedParts returns the keys of the nested prefixes of the prompt that other requests may
--- a/internal/router/quarantine_test.go
+++ b/internal/router/quarantine_test.go
@@ -94,3 +94,34 @@
 	code, _ = call(10, "another opening")
 	is.True(code != "request_quarantined")
 }
+
+// While crashes could not be reported, a request crashed two more engines each time it came.
+func TestCrashingRequestIsRefusedWhileControlIsOutOfReach(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t)
+	s.client.SetCallTimeout(50 * time.Millisecond)
+	var crashes atomic.Int32
+	address := s.serveLink(link.HandlerFunc(func(_ context.Context, call *link.Call) error {
+		d := call.Request.GetDispatch()
+		if d == nil {
+			return call.Send(&wire.Response{})
+		}
+		crashes.Add(1)
+		return fault.New(fault.BackendCrashed, fault.Unknown, "crashed")
+	}))
+	for i := range 8 {
+		name := fmt.Sprint("runner-", i)
+		s.apply(&wire.Command{Body: &wire.Command_Backend{Backend: &wire.BackendChange{Kind: wire.BackendChange_KIND_JOIN, Name: name,
+			Backend: &wire.Backend{Name: name, AgentAddress: address, FailureDomain: "punjab-a", AgentIncarnation: 1, EngineIncarnation: uint64(i + 1),
+				MaxRunning: 16, Models: []*wire.LoadedModel{{Model: "assessor", WeightsVersion: "1"}}}}}})
+	}
+	url := s.addRouter()
+	s.outOfReach.Store(true)
+	for range 4 {
+		resp, err := http.DefaultClient.Do(newRequest(t, "POST", url+"/v1/chat/completions", chatBody))
+		is.NoErr(err)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusUnprocessableEntity)
+	}
+	is.Equal(crashes.Load(), int32(2))
+}
--- a/internal/router/stack_test.go
+++ b/internal/router/stack_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -42,7 +43,9 @@
 	client   *controlclient.Client
 	backends map[string]*testBackend
 	routers  []*httptest.Server
-	ctx      context.Context
+	// outOfReach keeps routers from proposing commands.
+	outOfReach atomic.Bool
+	ctx        context.Context
 }
 
 type testBackend struct {
@@ -109,6 +112,9 @@
 func (s *stack) serveControl(_ context.Context, call *link.Call) error {
 	switch body := call.Request.Body.(type) {
 	case *wire.Request_Propose:
+		if s.outOfReach.Load() {
+			return fault.New(fault.Unavailable, fault.NotRun, "out of reach")
+		}
 		result := s.apply(body.Propose.Command)
 		return call.Send(&wire.Response{Body: &wire.Response_ProposeReply{ProposeReply: &wire.ProposeReply{Result: result}}})
 	case *wire.Request_ClaimLookup:
