--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -155,10 +155,14 @@
 	is := is.New(t)
 	first, second := NewTable(DefaultLimits()), NewTable(DefaultLimits())
 	first.Report(0, newReport("a", "f", "b1", 1))
+	first.Report(0, newReport("b", "g", "b1", 1))
+	var entries []*wire.QuarantineEntry
 	for _, entry := range first.Entries() {
-		second.Restore([]*wire.QuarantineEntry{proto.CloneOf(entry)}, first.Recent())
+		entries = append(entries, proto.CloneOf(entry))
 	}
-	for _, r := range []*wire.CrashReport{newReport("a", "f", "b1", 1), newReport("a", "f", "b2", 1), newReport("b", "f", "b2", 1)} {
+	second.Restore(entries, first.Recent())
+	for _, r := range []*wire.CrashReport{newReport("a", "f", "b1", 1), newReport("a", "f", "b2", 1), newReport("b", "f", "b2", 1), newReport("b", "g", "b2", 1)} {
 		is.True(proto.Equal(first.Report(9, r).Result, second.Report(9, r).Result))
 	}
+	is.Equal(len(first.Entries()), len(second.Entries()))
 }
