--- a/internal/consensus/replace_test.go
+++ b/internal/consensus/replace_test.go
@@ -184,6 +184,47 @@
 			sim.losePower()
 			sim.leaderWithin(is, simPowerLossLimit)
 		}},
+		"while the others are stopped and started in turn": {5, func(is *is.I, sim *simulation) {
+			for range 4 {
+				sim.replaceHost(sim.electedLeader(is))
+				for _, h := range slices.Clone(sim.hosts) {
+					if h.gone {
+						continue
+					}
+					sim.crash(h)
+					sim.run(simElectionTimeout/2, sim.startRequests)
+					sim.restart(h)
+					sim.electedLeader(is)
+					sim.run(simElectionTimeout, sim.startRequests)
+				}
+				sim.run(simRecovery, sim.startRequests)
+			}
+			sim.losePower()
+			sim.leaderWithin(is, simPowerLossLimit)
+		}},
+		"while another one's disk takes no writes": {5, func(is *is.I, sim *simulation) {
+			for i := range 4 {
+				full := sim.follower()
+				full.diskFull = true
+				sim.replaceHost(sim.electedLeader(is))
+				sim.run(2*simRecovery, sim.startRequests)
+				sim.electedLeader(is)
+				is.True(full.down) // it had to write
+				if i%2 == 1 {      // restarted while it is full
+					sim.restart(full)
+					sim.run(simElectionTimeout, sim.startRequests)
+					sim.electedLeader(is)
+				}
+				full.diskFull = false
+				if full.down {
+					sim.restart(full)
+				}
+				sim.run(2*simRecovery, sim.startRequests)
+				is.True(full.replica.Status(sim.now).Confirmed)
+			}
+			sim.losePower()
+			sim.leaderWithin(is, simPowerLossLimit)
+		}},
 		"all lose power at each step": {4, func(is *is.I, sim *simulation) {
 			for i := range 4 {
 				sim.removeHost(sim.hosts[i])
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -90,6 +90,9 @@
 	// there on.
 	previousSnapshot *storage.Snapshot
 	down             bool
+	// diskFull is set while the disk takes no writes. A replica that must write then stands
+	// still until it is started again.
+	diskFull bool
 	// gone is set on a host that never restarts.
 	gone bool
 	// busyUntil is when the host's freeze or its current sync ends.
@@ -219,6 +222,10 @@
 	for h.replica.HasReady() {
 		h.ready = h.replica.Ready()
 		sim.send(h, h.ready.ImmediateMessages)
+		if h.ready.MustSync && h.diskFull {
+			sim.crash(h)
+			return
+		}
 		if h.ready.MustSync && h.syncDelay > 0 {
 			h.busyUntil = sim.now.Add(sim.randomUpTo(h.syncDelay))
 			return
