quarantine: the first part of prompts is a candidate after all narrower ones

Cause: a call and a part ended servers at the same time; the opening, which sound calls have too, was at the ends of both, more than either, and nothing with it had been served before. The class: the widest candidate explains the most. Now it explains only what no narrower candidate does. Test: "an opening that is at the crashes of two causes" of TestCausesOfCrashes fails on the code before.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -27,30 +27,38 @@
 //     one that precedes it in prompts: the narrowest cause refuses the fewest requests.
 //   - Where engines crash for other reasons too, parts that are much in use are at some of the
 //     crashes. So a part needs more crashes, the more there were without it meanwhile.
+//   - The first part of prompts is a candidate only for the crashes for which there is no
+//     narrower one: most sound requests of an account have it, so that it is at the crashes
+//     of all causes together.
 //   - A part that was served before the first crash is a candidate only for the crashes
 //     that no other one explains. A part that is served after a crash is no candidate
 //     at all, see apply.
 func (t *Table) judge() {
-	var fresh, served []*candidate
+	var narrow, first, served []*candidate
 	for key, entry := range t.entries {
 		if len(entry.GetCrashIds()) < SharedCrashLimit || !IsPart(entry.GetFingerprint()) && !isSharedRequest(entry.GetFingerprint()) {
 			continue
 		}
 		c := &candidate{key: key, entry: entry, part: IsPart(entry.GetFingerprint())}
-		if entry.GetServedBefore() {
+		switch {
+		case entry.GetServedBefore():
 			served = append(served, c)
-		} else {
-			fresh = append(fresh, c)
+		case c.part && entry.GetDepth() == 0:
+			first = append(first, c)
+		default:
+			narrow = append(narrow, c)
 		}
 	}
-	if len(fresh)+len(served) == 0 {
+	all := slices.Concat(narrow, first, served)
+	if len(all) == 0 {
 		return
 	}
 	e := explanation{recent: t.recent, caused: map[string]bool{}, reserved: map[string]bool{}}
-	e.explain(fresh)
+	e.explain(narrow)
+	e.explain(first)
 	clear(e.reserved) // a part that was served may explain what is still open
 	e.explain(served)
-	for _, c := range append(fresh, served...) {
+	for _, c := range all {
 		if c.entry.GetSuspect() == c.cause {
 			entry := proto.CloneOf(c.entry)
 			entry.Suspect = !c.cause
--- a/internal/quarantine/judge_test.go
+++ b/internal/quarantine/judge_test.go
@@ -122,6 +122,19 @@
 				c.crash(1+i, "1/x")
 			}
 		}, []string{"1/x"}, nil},
+		"an opening that is at the crashes of two causes": {func(c *crashes) {
+			for i := range 3 {
+				c.crash(i, "call x", "0/opening", fmt.Sprint("1/context ", i))
+				c.crash(10+i, fmt.Sprint("call ", i), "0/opening", "1/y")
+			}
+			c.crash(20, "0/opening", "1/y")
+			c.crash(21, "0/opening", "1/y")
+		}, []string{"call x", "1/y"}, []string{"0/opening"}},
+		"an opening that is the cause": {func(c *crashes) {
+			for i := range 4 {
+				c.crash(i, fmt.Sprint("call ", i), "0/opening", fmt.Sprint("1/context ", i%2))
+			}
+		}, []string{"0/opening"}, []string{"1/context 0", "1/context 1"}},
 		"a part that was served before explains nothing that another one does": {func(c *crashes) {
 			for i := range 8 {
 				c.crash(i, "0/opening", "1/x")
