account: ParseDigest returns no digest with an error

Traced: the digits before a bad one are decoded, so a digest that ends in a zero byte, one random key in 256, was returned beside the error. No caller uses it. The new test fails on the code before.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -64,7 +64,7 @@
 		return d, fmt.Errorf("a key digest has %d hexadecimal digits, not %d", hex.EncodedLen(len(d)), len(digits))
 	}
 	if _, err := hex.Decode(d[:], []byte(digits)); err != nil {
-		return d, fmt.Errorf("a key digest has hexadecimal digits only")
+		return KeyDigest{}, fmt.Errorf("a key digest has hexadecimal digits only")
 	}
 	return d, nil
 }
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -19,6 +19,15 @@
 	is.True(!strings.Contains(firstDigest.String(), first))
 }
 
+// A digest that ends in a zero byte was returned for a text whose last digit is none, beside
+// the error: the digits before it are decoded.
+func TestParseDigestReturnsNothingWithAnError(t *testing.T) {
+	is := is.New(t)
+	digest, err := ParseDigest("sha256:" + strings.Repeat("1", 62) + "0g")
+	is.True(err != nil)
+	is.Equal(digest, KeyDigest{})
+}
+
 func TestParseDigest(t *testing.T) {
 	_, digest := NewKey()
 	text := digest.String()
