Test: cancelled calls are awaited before the others are answered

Traced: its stand-in chose between the end of a connection and the release of the last answer, which the test gave before the end was read.

--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -297,11 +297,12 @@
 	refused := fault.Quarantined.Response().Status
 	is.Equal(<-statuses["opening,x,last"], refused)
 	is.Equal(<-statuses["x,last"], refused)
-	close(answer)
-	is.Equal(<-statuses["opening,context,x"], 200) // the last part is that of the call alone
 	for end := time.Now().Add(5 * time.Second); cancelled.Load() < 2 && time.Now().Before(end); time.Sleep(time.Millisecond) {
 	}
 	is.Equal(cancelled.Load(), int32(2)) // their connections have ended
+	close(answer)
+	is.Equal(<-statuses["opening,context,x"], 200) // the last part is that of the call alone
+	is.Equal(cancelled.Load(), int32(2))
 	status, _, _, err := r.call("Call", "later", "Parts", "x,another last")
 	is.NoErr(err)
 	is.Equal(status, refused) // not sent at all
