forward: backend servers that name a limit get no more than it from all routers together

Cause: the header was read by nobody. Routers now ask the leader for permits, and requests without one go to other servers, or are refused at once with the time at which permits come.

TestServersGetNoMoreThanTheirLimit plays five cases with real processes; with permits ignored (trial) it fails.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -9,6 +9,7 @@
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/membership"
+	"parsleypulley/internal/permit"
 	"parsleypulley/internal/wire"
 )
 
@@ -45,6 +46,7 @@
 	leases  *membership.Leases
 	planner *fleet.Planner
 	rollout *fleet.Rollout
+	permits *permit.Allocator
 	// lastClockCommand is when the replicated clock was last advanced in this term.
 	lastClockCommand time.Time
 }
@@ -94,6 +96,7 @@
 	l.leases = nil
 	l.planner = nil
 	l.rollout = nil
+	l.permits = nil
 }
 
 // startTerm starts a leadership term and reports whether that succeeded. The term
@@ -113,6 +116,7 @@
 	l.leases = membership.NewLeases(l.options.Leases, now)
 	l.planner = fleet.NewPlanner(term, now, consensus.DefaultElectionTimeout)
 	l.rollout = fleet.NewRollout(term, now, l.options.PreviousOrderLease)
+	l.permits = permit.NewAllocator()
 	l.lastClockCommand = time.Time{}
 	event.LeaderTermStarted(term)
 	return true
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -102,6 +102,8 @@
 		}
 		s.leader.tracker.put(body.PushLoads)
 		return s.answer(call, &wire.Response{})
+	case *wire.Request_Permits:
+		return s.permits(call, body.Permits)
 	case *wire.Request_ReadRoutes:
 		return s.readRoutes(ctx, call)
 	case *wire.Request_Ping:
@@ -199,6 +201,18 @@
 	return s.answer(call, &wire.Response{Body: &wire.Response_OnceRecord{OnceRecord: record}})
 }
 
+// permits answers a router's request for permits.
+func (s *Service) permits(call *link.Call, req *wire.PermitRequest) error {
+	if err := call.RequireRole(link.RoleRouter); err != nil {
+		return err
+	}
+	reply, err := s.leader.grantPermits(req)
+	if err != nil {
+		return err
+	}
+	return s.answer(call, &wire.Response{Body: &wire.Response_PermitReply{PermitReply: reply}})
+}
+
 // requireEitherRole returns an error unless the peer has one of two roles.
 func requireEitherRole(call *link.Call, role, other string) error {
 	if err := call.RequireRole(role); err == nil {
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -101,6 +101,15 @@
 	return resp.GetOnceRecord(), nil
 }
 
+// Permits asks the leader for permits.
+func (c *Client) Permits(ctx context.Context, req *wire.PermitRequest) (*wire.PermitReply, error) {
+	resp, err := c.call(ctx, &wire.Request{Body: &wire.Request_Permits{Permits: req}})
+	if err != nil {
+		return nil, err
+	}
+	return resp.GetPermitReply(), nil
+}
+
 // Announce renews the lease of a backend server.
 func (c *Client) Announce(ctx context.Context, a *wire.Announce) (*wire.AnnounceReply, error) {
 	resp, err := c.call(ctx, &wire.Request{Body: &wire.Request_Announce{Announce: a}})
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -106,7 +106,8 @@
 	"CrashReportFailed": event.CrashReportFailed, "QuarantineInForce": event.QuarantineInForce, "QuarantineEnded": event.QuarantineEnded, "BackendEndedUnderCall": event.BackendEndedUnderCall,
 	"ViewAdopted": event.ViewAdopted, "ViewUnconfirmed": event.ViewUnconfirmed, "ViewConfirmed": event.ViewConfirmed,
 	"ViewSourceFailed": event.ViewSourceFailed, "ControlReplicasChanged": event.ControlReplicasChanged, "CacheStoreChanged": event.CacheStoreChanged,
-	"BackendSaysItLeaves": event.BackendSaysItLeaves, "BackendWantsNoCalls": event.BackendWantsNoCalls, "BackendRetryAfterInvalid": event.BackendRetryAfterInvalid,
+	"BackendSaysItLeaves": event.BackendSaysItLeaves, "BackendWantsNoCalls": event.BackendWantsNoCalls, "BackendLimitsCalls": event.BackendLimitsCalls, "BackendLimitInvalid": event.BackendLimitInvalid,
+	"PermitsNotReceived": event.PermitsNotReceived, "PermitsReceivedAgain": event.PermitsReceivedAgain, "BackendRetryAfterInvalid": event.BackendRetryAfterInvalid,
 	"BackendDown": event.BackendDown, "BackendUp": event.BackendUp, "DrainChanged": event.DrainChanged,
 	"ControlUnreachable": event.ControlUnreachable, "ControlReachable": event.ControlReachable, "ProbeFailed": event.ProbeFailed,
 	"CacheEventsReadFailed": event.CacheEventsReadFailed, "OrderFinished": event.OrderFinished,
@@ -248,6 +249,9 @@
 	case v.CanUint():
 		v.SetUint(uint64(nextValue))
 		*wantTexts = append(*wantTexts, fmt.Sprint("=", nextValue))
+	case v.CanFloat():
+		v.SetFloat(float64(nextValue))
+		*wantTexts = append(*wantTexts, fmt.Sprint("=", nextValue))
 	case v.CanInt():
 		v.SetInt(int64(nextValue))
 		*wantTexts = append(*wantTexts, fmt.Sprint("=", nextValue))
--- a/internal/event/state.go
+++ b/internal/event/state.go
@@ -50,6 +50,28 @@
 	log.WithFields(log.Fields{"backend": backend, "address": address, "for_ms": milliseconds(quiet)}).Info("backend server wants no calls")
 }
 
+// BackendLimitsCalls logs that a backend server names a limit for the calls of all routers
+// together, or that it names it no longer (0).
+func BackendLimitsCalls(backend, address string, perSecond float64) {
+	log.WithFields(log.Fields{"backend": backend, "address": address, "per_second": perSecond}).Info("backend server limits its calls")
+}
+
+// BackendLimitInvalid logs that a backend server named a limit that can't be used.
+func BackendLimitInvalid(backend, address, text string) {
+	log.WithFields(log.Fields{"backend": backend, "address": address, "text": text}).Warn("the limit can't be read")
+}
+
+// PermitsNotReceived logs that a router gets no permits for backend servers that limit
+// their calls. Log lines of one router are at least a second apart.
+func PermitsNotReceived(err error) {
+	log.WithFields(log.Fields{"error": err}).Warn("permits not received")
+}
+
+// PermitsReceivedAgain logs that a router gets permits again.
+func PermitsReceivedAgain(missing time.Duration) {
+	log.WithFields(log.Fields{"for_ms": milliseconds(missing)}).Info("permits received again")
+}
+
 // BackendRetryAfterInvalid logs that a backend server named a time to come back that
 // can't be used.
 func BackendRetryAfterInvalid(backend, address, text string) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -22,9 +22,7 @@
 		crashes.Add("refused", 1)
 		return c.Quarantined(reason)
 	}
-	d, err := c.f.selector.selectBackend(now, c.call.Model, &routing.Request{
-		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: c.triedBackends,
-	}, c.firstTokenLimit())
+	d, err := c.selectBackend(now)
 	if err != nil {
 		if c.AttemptCount() == 0 {
 			return Step{Err: fault.From(err)}
@@ -72,6 +70,21 @@
 	return c.Next(now, fail.outcome, func() bool { return c.f.selector.tryRetry(now, c.service) })
 }
 
+// selectBackend selects the backend server for an attempt. If that takes permits, it waits
+// for them for a short time.
+func (c *forwardedCall) selectBackend(now time.Time) (*routing.Decision, error) {
+	req := &routing.Request{
+		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: c.triedBackends, Urgency: urgencyOf(c.route, c.account),
+	}
+	d, err := c.f.selector.selectBackend(now, c.call.Model, req, c.firstTokenLimit())
+	if errors.Is(err, routing.ErrPermitsNeeded) {
+		c.f.permits.refresh(c.callCtx)
+		req.PermitsAsked = true
+		d, err = c.f.selector.selectBackend(time.Now(), c.call.Model, req, c.firstTokenLimit())
+	}
+	return d, err
+}
+
 // runAttempt sends an attempt to the chosen backend server and forwards its
 // response. It returns either a failure, which attempt passes to RetryState.Next, or
 // the next step of the call.
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -96,6 +96,11 @@
 	// RetryAfter is how long the backend server, which turned the call away, wants no
 	// further calls from this VM; 0 if it does not say.
 	RetryAfter time.Duration
+	// LimitPerSecond is the number of requests a second that the backend server takes from
+	// all routers together; 0 if it names no limit.
+	LimitPerSecond float64
+	// InvalidLimit is such a statement that can't be used; empty if there is none.
+	InvalidLimit string
 	// InvalidRetryAfter is such a statement that can't be used; empty if there is
 	// none.
 	InvalidRetryAfter string
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -36,6 +36,9 @@
 	Budget RetryBudgetLimits
 	// Control takes the reports of backend servers that end under a call.
 	Control crashreport.Proposer
+	// Permits gives the permits for backend servers that limit their calls. If it is nil,
+	// such backend servers get none.
+	Permits PermitSource
 	// RevokeBound limits the age of the last confirmation of the view. Calls that
 	// need an API key are refused once the age reaches it, since the key may have
 	// been revoked. 0 selects DefaultRevokeBound.
@@ -90,6 +93,7 @@
 	storeMonitor *storeMonitor
 	shutdown     *shutdownGuard
 	crashes      *crashGuard
+	permits      *permitClient
 	// invalidNotices limits log lines; see recordNotices.
 	invalidNotices invalidNoticeLimiter
 }
@@ -99,14 +103,16 @@
 	if opts.RevokeBound <= 0 {
 		opts.RevokeBound = DefaultRevokeBound
 	}
-	return &Forwarder{opts: opts, dialect: opts.Dialect, connPool: newConnPool(), selector: newBackendSelector(opts.Domain, opts.Seed, opts.Budget, opts.WeightsBound), storeMonitor: newStoreMonitor(), shutdown: newShutdownGuard(),
-		crashes: newCrashGuard(crashreport.New(opts.Control, opts.Views))}
+	selector := newBackendSelector(opts.Domain, opts.Seed, opts.Budget, opts.WeightsBound)
+	return &Forwarder{opts: opts, dialect: opts.Dialect, connPool: newConnPool(), selector: selector, storeMonitor: newStoreMonitor(), shutdown: newShutdownGuard(),
+		permits: newPermitClient(opts.Permits, selector), crashes: newCrashGuard(crashreport.New(opts.Control, opts.Views))}
 }
 
 // Run applies new views and closes expired connections until ctx ends.
 func (f *Forwarder) Run(ctx context.Context) {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	go f.permits.run(ctx)
 	viewLogger := viewLogger{source: f.opts.SourceAddress}
 	for {
 		changed := f.opts.Views.Changed()
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -46,7 +46,17 @@
 			event.BackendRetryAfterInvalid(name, address, info.InvalidRetryAfter)
 		}
 	}
-	leaving, quiet := f.selector.recordNotices(now, d, info)
+	if info.InvalidLimit != "" {
+		notices.Add("invalid", 1)
+		if f.invalidNotices.allow(now) {
+			event.BackendLimitInvalid(name, address, info.InvalidLimit)
+		}
+	}
+	leaving, quiet, limit := f.selector.recordNotices(now, d, info)
+	if limit {
+		notices.Add("limit", 1)
+		event.BackendLimitsCalls(name, address, info.LimitPerSecond)
+	}
 	if leaving {
 		notices.Add("leaving", 1)
 		event.BackendSaysItLeaves(name, address)
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -80,6 +81,7 @@
 func (sel *backendSelector) applyLoads(now time.Time, digest *wire.LoadDigest) {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
+	sel.router.LimitsReported(now, digest.GetLimits())
 	for _, l := range digest.GetLoads() {
 		sel.router.LoadReported(now, l.GetBackend(), l.GetLoad())
 	}
@@ -89,12 +91,16 @@
 // a service without models, and records the attempt as started. It sets the
 // weights versions in req. If even the best backend server is predicted to need
 // longer than firstTokenLimit until the first token, selectBackend returns an
-// error whose RetryAfter is the excess. A firstTokenLimit of 0 means no limit.
+// error whose RetryAfter is the excess. A firstTokenLimit of 0 means no limit. The error
+// is routing.ErrPermitsNeeded if permits should be asked for first.
 func (sel *backendSelector) selectBackend(now time.Time, model string, req *routing.Request, firstTokenLimit time.Duration) (*routing.Decision, error) {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	req.MinWeightsVersion, req.PreferredWeightsVersion = sel.weightsVersions(now, model)
 	d, err := sel.router.Choose(now, req)
+	if errors.Is(err, routing.ErrPermitsNeeded) {
+		return nil, err
+	}
 	if err != nil {
 		e := fault.From(err)
 		if e.RetryAfter > 0 {
@@ -114,7 +120,7 @@
 
 // recordNotices records what a backend server says of itself in a response to an attempt,
 // and reports what of it is news.
-func (sel *backendSelector) recordNotices(now time.Time, d *routing.Decision, info ResponseInfo) (leaving, quiet bool) {
+func (sel *backendSelector) recordNotices(now time.Time, d *routing.Decision, info ResponseInfo) (leaving, quiet, limit bool) {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	if info.Leaving {
@@ -123,7 +129,10 @@
 	if info.RetryAfter > 0 {
 		quiet = sel.router.AskedForQuiet(now, d, info.RetryAfter)
 	}
-	return leaving, quiet
+	if info.InvalidLimit == "" {
+		limit = sel.router.SaidLimit(now, d, info.LimitPerSecond)
+	}
+	return leaving, quiet, limit
 }
 
 func (sel *backendSelector) firstToken(now time.Time, d *routing.Decision) {
--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -28,7 +28,7 @@
 			continue
 		}
 		s := group.servers[i]
-		if !s.eligible(now, req) {
+		if !r.eligible(now, s, req) {
 			continue
 		}
 		order = insertByScore(order, scoredServer{score, s}, limit)
@@ -51,12 +51,17 @@
 	return c
 }
 
+// eligible reports whether a request may go to a backend server.
+func (r *Router) eligible(now time.Time, s *server, req *Request) bool {
+	return s.eligible(now, req) && (!req.withRoom || r.hasRoom(now, s, req))
+}
+
 // addRandom draws randomCandidates backend servers, appends to dst those that
 // are eligible and not yet in it, and returns the extended slice.
 func (r *Router) addRandom(now time.Time, servers []*server, req *Request, dst []candidate) []candidate {
 	for range randomCandidates {
 		s := servers[r.random.IntN(len(servers))]
-		if !s.eligible(now, req) || containsServer(dst, s) {
+		if !r.eligible(now, s, req) || containsServer(dst, s) {
 			continue
 		}
 		dst = append(dst, newCandidate(now, s, len(servers)))
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -92,7 +92,7 @@
 
 // Choose returns the backend server for one attempt. The error is a *fault.Error of
 // kind NoBackend, or of kind Overloaded with the time after which a backend server that
-// wants no requests now can be used.
+// wants no requests now, or has no room in its limit, can be used; or ErrPermitsNeeded.
 func (r *Router) Choose(now time.Time, req *Request) (*Decision, error) {
 	p := r.pools[poolKey{req.Service, req.Model, req.WeightsVersion, req.Adapter}]
 	if p == nil {
@@ -117,6 +117,16 @@
 	}
 	r.predictCached(now, &pr, found)
 	best := r.cheapest(now, p, &pr, found)
+	r.permits.Want(best.server.key, req.Urgency)
+	if !r.hasRoom(now, best.server, req) {
+		var other [maxCandidates]candidate
+		withRoom := r.candidatesWithRoom(now, p, &pr, req, other[:0])
+		if len(withRoom) == 0 {
+			return nil, r.noRoom(now, found, req)
+		}
+		r.predictCached(now, &pr, withRoom)
+		best = r.cheapest(now, p, &pr, withRoom)
+	}
 	d := r.newDecision(req, p, &pr, best)
 	if d.Backend.Address != "" && r.settings.ImportRate > 0 {
 		d.KVSource, d.KVSourceTokens = r.directImportSource(now, p, &pr, best.server)
@@ -371,6 +381,7 @@
 		Prefill:        seconds(c.prefill),
 		server:         c.server,
 		pool:           p,
+		urgency:        req.Urgency,
 		scope:          pr.scope,
 		levels:         pr.levels,
 		evidence:       c.evidence,
--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/permit"
 	"parsleypulley/internal/wire"
 )
 
@@ -33,6 +34,8 @@
 // They outlive changes of the view: a view that still lists the backend server as ready,
 // or lists it again, does not revoke them.
 type notices struct {
+	// key identifies the run in Router.permits.
+	key permit.Key
 	// leaving is set once the backend server has said that it leaves.
 	leaving bool
 	// quietSince and quietUntil bound the time in which the backend server wants no
@@ -88,7 +91,7 @@
 	id := instanceOf(b)
 	n := r.notices[id]
 	if n == nil {
-		n = &notices{}
+		n = &notices{key: permit.KeyOf(b)}
 		r.notices[id] = n
 	}
 	return n
@@ -146,7 +149,7 @@
 			if left := n.quietUntil.Sub(now); rest == 0 || left < rest {
 				rest = left
 			}
-			if n.allowsProbe(now) && s.available(now) && !s.triedBy(req) && (probe == nil || n.quietUntil.Before(probe.notices.quietUntil)) {
+			if n.allowsProbe(now) && s.available(now) && !s.triedBy(req) && r.hasRoom(now, s, req) && (probe == nil || n.quietUntil.Before(probe.notices.quietUntil)) {
 				probe = s
 			}
 		}
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -51,6 +51,7 @@
 	s.waiting = append(s.waiting, d)
 	s.breaker.requestSent(now)
 	s.notices.sent(now, d)
+	r.permits.Take(now, s.key, d.urgency)
 	if len(d.levels) == 0 {
 		return
 	}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"parsleypulley/internal/permit"
 	"parsleypulley/internal/wire"
 )
 
@@ -95,6 +96,7 @@
 		}
 	}
 	r.dropNotices(now)
+	r.forgetLimits()
 	r.buildPools(members)
 }
 
@@ -106,6 +108,7 @@
 		backend:    b,
 		nameHash:   xxhash.Sum64String(b.Name),
 		sameDomain: b.FailureDomain == r.domain,
+		key:        permit.KeyOf(b),
 		engineID:   r.index.AddEngine(),
 		notices:    r.noticesOf(b),
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -17,9 +17,11 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/permit"
 	"parsleypulley/internal/prefix"
 	"parsleypulley/internal/wire"
 )
@@ -105,6 +107,11 @@
 	// less for a demoted request, so that it waits rather than displaces cached
 	// state of others.
 	Demotion int32
+	// Urgency is the urgency of the request among those for which there are permits; 0 is the
+	// most urgent.
+	Urgency uint32
+	// PermitsAsked is set if permits were asked for after Choose returned ErrPermitsNeeded.
+	PermitsAsked bool
 	// Tried lists the names of backend servers that must not be chosen again.
 	Tried []string
 	// PreferredWeightsVersion is the version of weights below which a backend
@@ -114,6 +121,9 @@
 	// MinWeightsVersion is the version of weights below which no backend server
 	// is chosen.
 	MinWeightsVersion uint64
+
+	// withRoom leaves out backend servers whose limit has no room.
+	withRoom bool
 }
 
 // Router chooses among the backend servers of one view.
@@ -136,6 +146,8 @@
 	requestShare shareEstimate
 	// notices holds what backend servers have said of themselves, by incarnation.
 	notices map[instance]*notices
+	// permits holds the permits for backend servers that limit their requests.
+	permits *permit.Holder
 	// holdings is a buffer for the holders of the level that predictCached
 	// looks at.
 	holdings []prefix.Holding
@@ -155,6 +167,7 @@
 		hitEstimator: newHitEstimator(),
 		requestShare: newShareEstimate(),
 		notices:      make(map[instance]*notices),
+		permits:      permit.NewHolder(strconv.FormatUint(rand.Uint64(), 36)),
 	}
 }
 
@@ -202,6 +215,8 @@
 
 	server *server
 	pool   *pool
+	// urgency is the Urgency of the request.
+	urgency uint32
 	// scope is the prefix.Scope.Seed of the request.
 	scope  uint64
 	levels []*wire.PrefixLevel
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/permit"
 	"parsleypulley/internal/prefix"
 	"parsleypulley/internal/wire"
 )
@@ -52,6 +53,8 @@
 	// sameDomain is set if the backend server is in the router's failure
 	// domain.
 	sameDomain bool
+	// key identifies the incarnation in Router.permits.
+	key permit.Key
 	// engineID identifies the incarnation in Router.index.
 	engineID prefix.EngineID
 	// startedAt is when this incarnation began; zero if unknown.
