agent: the limit that a backend server names is kept at its gate

All requests of all routers pass the agent, so a token bucket there is the shared budget. Refusals are 'not run' and name the time until there is room.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -262,19 +262,20 @@
 	}
 }
 
-// noteLeaving makes the agent refuse new requests if the backend server has said that it
-// leaves. Running requests continue.
-func (a *Agent) noteLeaving() {
-	incarnation := a.engine.Leaving()
-	if incarnation == 0 {
-		return
-	}
+// readNotices makes the agent refuse new requests if the backend server has said that it
+// leaves, and those beyond the limit that it has named. Running requests continue.
+func (a *Agent) readNotices() {
+	incarnation, perSecond := a.engine.Leaving(), a.engine.Limit()
 	a.mu.Lock()
-	news := a.gate.EngineLeaves(incarnation)
+	leaves := incarnation != 0 && a.gate.EngineLeaves(incarnation)
+	limits := a.gate.SetLimit(time.Now(), perSecond)
 	a.mu.Unlock()
-	if news {
+	if leaves {
 		event.BackendSaysItLeaves(a.config.Name, a.config.Address)
 	}
+	if limits {
+		event.BackendLimitsCalls(a.config.Name, a.config.Address, perSecond)
+	}
 }
 
 // ObserveFencingToken makes the agent refuse orders with a fencing token lower than
--- a/internal/agent/gate/gate.go
+++ b/internal/agent/gate/gate.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/permit"
 	"parsleypulley/internal/wire"
 )
 
@@ -95,9 +96,12 @@
 	// engineLeaves is set once the current incarnation of the backend server has said
 	// that it leaves.
 	engineLeaves bool
-	running      map[StreamKey]struct{}
-	claims       claims
-	orders       orders
+	// limit is the number of requests a second that the backend server takes; 0 for no limit.
+	limit   float64
+	bucket  permit.Bucket
+	running map[StreamKey]struct{}
+	claims  claims
+	orders  orders
 }
 
 // New returns the gate of the agent with the given incarnation. The backend server
@@ -147,6 +151,20 @@
 	return true
 }
 
+// SetLimit sets how many requests a second the backend server takes; 0 for no limit. It
+// reports whether a limit is new or has ended.
+func (g *Gate) SetLimit(now time.Time, perSecond float64) (news bool) {
+	news = (g.limit > 0) != (perSecond > 0)
+	if news {
+		g.bucket = permit.Bucket{}
+	}
+	if perSecond > 0 && perSecond != g.limit {
+		g.bucket.SetLimit(now, perSecond)
+	}
+	g.limit = perSecond
+	return news
+}
+
 // SetDraining makes the gate refuse new requests, or accept them again. It reports
 // whether that is a change.
 func (g *Gate) SetDraining(draining bool) (changed bool) {
@@ -205,6 +223,10 @@
 	if err := g.checkDispatch(key, d); err != nil {
 		return Ticket{}, g.refuse(now, d, err)
 	}
+	if g.limit > 0 && !g.bucket.TryTake(now) {
+		err := fault.New(fault.Overloaded, fault.NotRun, "the backend server takes %.3g requests a second", g.limit)
+		return Ticket{}, g.refuse(now, d, err.WithRetryAfter(max(g.bucket.Wait(now), time.Millisecond)))
+	}
 	t := Ticket{Key: key, Incarnation: g.engineIncarnation}
 	if d.Claim != nil {
 		t.Claimed = true
--- a/internal/agent/gate/gate_test.go
+++ b/internal/agent/gate/gate_test.go
@@ -395,3 +395,38 @@
 	plain.EngineUp(engineIncarnation, nil)
 	is.True(!plain.Status().Draining)
 }
+
+// Guards against limits that hold at each router alone: an agent lets through what its backend
+// server takes, whoever sends it, and says when to come back.
+func TestGateKeepsLimit(t *testing.T) {
+	for _, perSecond := range []float64{0.5, 3, 40} {
+		is := is.New(t)
+		limits := DefaultLimits()
+		g := newGate("", limits)
+		now := t0
+		is.True(g.SetLimit(now, perSecond))
+		is.True(!g.SetLimit(now, perSecond)) // news only once
+		admitted := 0
+		const length = 20 * time.Second
+		for i := 0; now.Sub(t0) < length; i++ {
+			now = now.Add(5 * time.Millisecond)
+			ticket, err := g.Admit(now, chat(strconv.Itoa(i)))
+			if err != nil {
+				is.Equal(err.Kind, fault.Overloaded)
+				is.Equal(err.Outcome, fault.NotRun)
+				is.True(err.RetryAfter > 0 && err.RetryAfter <= time.Duration(float64(time.Second)/perSecond)+time.Millisecond)
+				continue
+			}
+			g.Finish(now, ticket, Result{})
+			admitted++
+		}
+		allowed := perSecond * length.Seconds()
+		is.True(float64(admitted) <= allowed+1)
+		is.True(float64(admitted) >= allowed-1)
+		is.True(g.SetLimit(now, 0))
+		for i := range 10 {
+			_, err := g.Admit(now, chat("after "+strconv.Itoa(i)))
+			is.True(err == nil)
+		}
+	}
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -107,7 +107,7 @@
 // exchange sends the request and copies the response to s.
 func (a *Agent) exchange(ctx context.Context, d *wire.Dispatch, t gate.Ticket, req *engine.Request, s *stream) (*wire.End, *fault.Error) {
 	response, err := a.engine.Run(ctx, req)
-	a.noteLeaving()
+	a.readNotices()
 	if err != nil {
 		return nil, fault.From(err)
 	}
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -60,7 +60,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	defer a.noteLeaving()
+	defer a.readNotices()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if number < a.lastHealthCheck {
--- a/internal/agent/watch_test.go
+++ b/internal/agent/watch_test.go
@@ -20,6 +20,8 @@
 
 func (h *blockingHealthEngine) Leaving() uint64 { return 0 }
 
+func (h *blockingHealthEngine) Limit() float64 { return 0 }
+
 func (h *blockingHealthEngine) Health(context.Context) (*engine.Health, error) {
 	answer := make(chan uint64)
 	h.checks <- answer
--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -29,12 +29,13 @@
 	if len(body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	sentAt := time.Now()
 	resp, err := h.client.Do(req)
 	if err != nil {
 		return nil, controlError(err, sent.Load())
 	}
 	defer resp.Body.Close()
-	h.readLeaving(resp.Header)
+	h.readNotices(sentAt, resp.Header)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
 		return nil, controlError(err, true)
--- a/internal/engine/dialect/dialect.go
+++ b/internal/engine/dialect/dialect.go
@@ -23,6 +23,9 @@
 	Refusal = "X-Refusal"
 	// Leaving is set to 1 on every response of a backend server that leaves.
 	Leaving = "Server-Leaving"
+	// Limit is the number of requests a second that a backend server takes, as long as its
+	// responses name it.
+	Limit = "Server-Limit"
 )
 
 // Values of the Refusal header.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -35,6 +35,8 @@
 	Order(ctx context.Context, order dialect.Order) error
 	// Leaving returns the incarnation that has said in a response that it leaves, or 0.
 	Leaving() uint64
+	// Limit returns the limit in requests a second that the newest response names, or 0.
+	Limit() float64
 	// PlainService reports whether the backend server is a plain service, which is
 	// any HTTP service other than a model engine. A plain service supports only Run
 	// and Health.
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -15,6 +15,7 @@
 
 	"parsleypulley/internal/engine/dialect"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/permit"
 )
 
 // HTTPOptions are the settings of an HTTP client for a backend server.
@@ -42,6 +43,8 @@
 	incarnation atomic.Uint64
 	// leaving is the incarnation that has said that it leaves, or 0.
 	leaving atomic.Uint64
+	// limit is what the newest response says of the limit; nil if there is none.
+	limit atomic.Pointer[limitNotice]
 }
 
 var _ Engine = (*HTTP)(nil)
@@ -116,6 +119,7 @@
 	if req.AtMostOnce {
 		client = h.singleUseClient
 	}
+	sentAt := time.Now()
 	resp, err := client.Do(hreq)
 	if err != nil {
 		err = requestError(ctx, err, sent.Load())
@@ -123,7 +127,7 @@
 		cancel(nil)
 		return nil, err
 	}
-	h.readLeaving(resp.Header)
+	h.readNotices(sentAt, resp.Header)
 	response := &httpResponse{resp: resp, ctx: ctx, cancel: cancel, idle: idle, tokens: req.ResumeOffset, limits: h.limits}
 	if err := response.readHead(h, req); err != nil {
 		response.Close()
@@ -135,6 +139,48 @@
 // Leaving implements Engine.
 func (h *HTTP) Leaving() uint64 { return h.leaving.Load() }
 
+// Limit implements Engine.
+func (h *HTTP) Limit() float64 {
+	if notice := h.limit.Load(); notice != nil {
+		return notice.perSecond
+	}
+	return 0
+}
+
+// readNotices records what a response of any kind says of its backend server. sentAt is the
+// time at which its request was sent.
+func (h *HTTP) readNotices(sentAt time.Time, header http.Header) {
+	h.readLeaving(header)
+	h.readLimit(sentAt, header)
+}
+
+// limitNotice is what a response says of the limit in requests a second; 0 for none.
+type limitNotice struct {
+	perSecond float64
+	// at is a time at which it held.
+	at time.Time
+}
+
+// readLimit records the limit that a response names. As responses overtake one another, a
+// limit counts from its response on, and its end from the request on. A limit that can't be read
+// is ignored.
+func (h *HTTP) readLimit(sentAt time.Time, header http.Header) {
+	notice := &limitNotice{at: sentAt}
+	if text := header.Get(dialect.Limit); text != "" {
+		limit, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(limit >= 0) {
+			return
+		}
+		notice = &limitNotice{perSecond: max(limit, permit.MinPerSecond), at: time.Now()}
+	}
+	for {
+		current := h.limit.Load()
+		if current != nil && notice.at.Before(current.at) || h.limit.CompareAndSwap(current, notice) {
+			return
+		}
+	}
+}
+
 // readLeaving records whether a response of any kind says that the backend server leaves.
 // A response without an incarnation is taken for one of the current incarnation.
 func (h *HTTP) readLeaving(header http.Header) {
--- a/internal/router/fault_test.go
+++ b/internal/router/fault_test.go
@@ -306,3 +306,38 @@
 	}
 	is.Equal(s.machine.Log().Snapshot().QuarantinedCount(), 1)
 }
+
+// Guards against an engine behind an agent that gets from all routers together more than the limit that
+// it names.
+func TestEngineBehindAgentGetsNoMoreThanItsLimit(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t)
+	limited := s.addBackend("engine-0", "", standin.Options{})
+	urls := []string{s.addRouter(), s.addRouter()}
+	send := func(i int) (status int) {
+		resp, err := http.DefaultClient.Do(newRequest(t, "POST", urls[i%len(urls)]+"/v1/chat/completions", chatBody))
+		is.NoErr(err)
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		return resp.StatusCode
+	}
+	const perSecond, length = 8, 3 * time.Second
+	is.True(limited.standin.Inject(standin.Fault{Kind: standin.FaultLimit, Factor: perSecond}))
+	is.Equal(send(0), http.StatusOK) // the answer that says so
+	before, began := len(limited.standin.Counts().Requests), time.Now()
+	for i := 0; time.Since(began) < length; i++ {
+		sent := time.Now()
+		if status := send(i); status != http.StatusOK {
+			is.Equal(status, http.StatusTooManyRequests)
+			is.True(time.Since(sent) < time.Second) // said at once
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	got := len(limited.standin.Counts().Requests) - before
+	t.Logf("%d requests in %v, the limit is %d a second", got, length, perSecond)
+	is.True(float64(got) <= 1.5*perSecond*length.Seconds()+5)
+	is.True(float64(got) >= 0.3*perSecond*length.Seconds())
+	is.True(limited.standin.Inject(standin.Fault{Kind: standin.FaultLimit}))
+	waitFor(t, func() bool { return send(0) == http.StatusOK && send(1) == http.StatusOK && send(0) == http.StatusOK })
+}
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -34,6 +34,9 @@
 	FaultRefuse = "refuse"
 	// FaultLeave makes all answers say that the server leaves, until the next instance.
 	FaultLeave = "leave"
+	// FaultLimit makes all answers name Factor as the limit in requests a second, until the
+	// next instance; 0 ends it.
+	FaultLimit = "limit"
 	// FaultNone removes all faults.
 	FaultNone = "none"
 )
@@ -71,6 +74,8 @@
 	frozenUntil time.Time
 	// leaving is set while all answers say that the server leaves.
 	leaving bool
+	// limit is the limit that all answers name; 0 for none.
+	limit float64
 }
 
 func newFaults(ctx context.Context) *faults { return &faults{ctx: ctx, factor: 1} }
@@ -151,8 +156,10 @@
 		f.refusalsLeft, f.retryAfter = n, time.Duration(fault.DurationMS)*time.Millisecond
 	case FaultLeave:
 		f.leaving = true
+	case FaultLimit:
+		f.limit = fault.Factor
 	case FaultNone:
-		f.leaving = false
+		f.leaving, f.limit = false, 0
 		f.cutAfter, f.cutsLeft, f.crashAfter, f.wrongAnswersLeft, f.refusalsLeft = 0, 0, 0, 0, 0
 		f.factor, f.frozenUntil = 1, time.Time{}
 	default:
@@ -174,6 +181,9 @@
 		if f.isLeaving() {
 			w.Header().Set(dialect.Leaving, "1")
 		}
+		if limit := f.namedLimit(); limit > 0 {
+			w.Header().Set(dialect.Limit, strconv.FormatFloat(limit, 'f', -1, 64))
+		}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -204,6 +214,12 @@
 	return f.leaving
 }
 
+func (f *faults) namedLimit() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.limit
+}
+
 func (f *faults) scale(d time.Duration) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
