--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -366,6 +366,9 @@
 	}
 	if c.rank >= homeReplicas && contextSeconds > 0 {
 		penalty += rankPenalty * time.Duration(min(c.rank-homeReplicas+1, maxRankPenalty))
+	}
+	// A backend server whose limit keeps it below its load has room in its cache.
+	if c.rank >= homeReplicas && contextSeconds > 0 && !r.permits.Limited(c.server.key) {
 		penalty += seconds(r.settings.AffinityWeight * (1 - c.hitProbability) * contextSeconds)
 	}
 	return penalty.Seconds()
