forward: a stream goes on only at the software version that began it

Cause: the heartbeat's version was read by nobody, so that a stream went on at any server of its service. In one answer the router now keeps to the version; a call that takes a stream up is sent where the records of the stream say, and refused as not run where nobody knows.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -10,6 +10,7 @@
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/membership"
 	"parsleypulley/internal/permit"
+	"parsleypulley/internal/streamrecord"
 	"parsleypulley/internal/wire"
 )
 
@@ -47,6 +48,7 @@
 	planner *fleet.Planner
 	rollout *fleet.Rollout
 	permits *permit.Allocator
+	routers *streamrecord.Registry
 	// lastClockCommand is when the replicated clock was last advanced in this term.
 	lastClockCommand time.Time
 }
@@ -97,6 +99,7 @@
 	l.planner = nil
 	l.rollout = nil
 	l.permits = nil
+	l.routers = nil
 }
 
 // startTerm starts a leadership term and reports whether that succeeded. The term
@@ -117,6 +120,7 @@
 	l.planner = fleet.NewPlanner(term, now, consensus.DefaultElectionTimeout)
 	l.rollout = fleet.NewRollout(term, now, l.options.PreviousOrderLease)
 	l.permits = permit.NewAllocator()
+	l.routers = streamrecord.NewRegistry()
 	l.lastClockCommand = time.Time{}
 	event.LeaderTermStarted(term)
 	return true
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -105,7 +105,7 @@
 		snapshot := l.machine.Log().Snapshot()
 		stores := snapshot.Routes.CacheStores()
 		caches.follow(ctx, sourcesOf(snapshot.Members(), stores))
-		digest := &wire.LoadDigest{Term: term, Number: number, Loads: loadsOf(replies), Limits: l.limits(snapshot.Members())}
+		digest := &wire.LoadDigest{Term: term, Number: number, Loads: loadsOf(replies), Limits: l.limits(snapshot.Members()), Routers: l.listRouters()}
 		if next > 0 || time.Since(lastCacheDigest) >= cacheDigestInterval {
 			lastCacheDigest = time.Now()
 			addCacheFilters(digest, caches, replies, stores)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -104,6 +104,8 @@
 		return s.answer(call, &wire.Response{})
 	case *wire.Request_Permits:
 		return s.permits(call, body.Permits)
+	case *wire.Request_RouterHello:
+		return s.hello(call)
 	case *wire.Request_ReadRoutes:
 		return s.readRoutes(ctx, call)
 	case *wire.Request_Ping:
@@ -213,6 +215,17 @@
 	return s.answer(call, &wire.Response{Body: &wire.Response_PermitReply{PermitReply: reply}})
 }
 
+// hello records that a router runs.
+func (s *Service) hello(call *link.Call) error {
+	if err := call.RequireRole(link.RoleRouter); err != nil {
+		return err
+	}
+	if err := s.leader.hello(call.Request.GetFromAddress()); err != nil {
+		return err
+	}
+	return s.answer(call, &wire.Response{})
+}
+
 // requireEitherRole returns an error unless the peer has one of two roles.
 func requireEitherRole(call *link.Call, role, other string) error {
 	if err := call.RequireRole(role); err == nil {
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -110,6 +110,12 @@
 	return resp.GetPermitReply(), nil
 }
 
+// Hello tells the leader that the router at a link address runs.
+func (c *Client) Hello(ctx context.Context, address string) error {
+	_, err := c.call(ctx, &wire.Request{FromAddress: address, Body: &wire.Request_RouterHello{RouterHello: &wire.RouterHello{}}})
+	return err
+}
+
 // Announce renews the lease of a backend server.
 func (c *Client) Announce(ctx context.Context, a *wire.Announce) (*wire.AnnounceReply, error) {
 	resp, err := c.call(ctx, &wire.Request{Body: &wire.Request_Announce{Announce: a}})
--- a/internal/event/state.go
+++ b/internal/event/state.go
@@ -61,6 +61,11 @@
 	log.WithFields(log.Fields{"backend": backend, "address": address, "text": text}).Warn("the limit can't be read")
 }
 
+// RouterNotListed logs that the leader can't be told that a router runs.
+func RouterNotListed(err error) {
+	log.WithFields(log.Fields{"error": err}).Warn("router not listed")
+}
+
 // PermitsNotReceived logs that a router gets no permits for backend servers that limit
 // their calls. Log lines of one router are at least a second apart.
 func PermitsNotReceived(err error) {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -75,6 +75,7 @@
 func (c *forwardedCall) selectBackend(now time.Time) (*routing.Decision, error) {
 	req := &routing.Request{
 		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: c.triedBackends, Urgency: urgencyOf(c.route, c.account),
+		SoftwareVersion: c.softwareVersion, BoundToSoftware: c.bound,
 	}
 	d, err := c.f.selector.selectBackend(now, c.call.Model, req, c.firstTokenLimit())
 	if errors.Is(err, routing.ErrPermitsNeeded) {
@@ -267,6 +268,7 @@
 		}
 		if !c.headerWritten {
 			c.firstEventDelay = time.Since(c.arrivedAt)
+			c.bindStarted(d)
 			c.writeHeader(r, -1)
 		}
 		if err := c.writeBody(event); err != nil {
--- a/internal/forward/dialect.go
+++ b/internal/forward/dialect.go
@@ -34,6 +34,9 @@
 	// LastEventID is the ID of the last stream event that the caller has
 	// received; empty if the call starts a new stream.
 	LastEventID string
+	// BeganAs is the ID of the call that brought the stream's first event; empty if the
+	// call starts a new stream or does not say.
+	BeganAs string
 	// Model is the name of the requested model; empty for a service without
 	// models.
 	Model string
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -39,6 +39,9 @@
 	// Permits gives the permits for backend servers that limit their calls. If it is nil,
 	// such backend servers get none.
 	Permits PermitSource
+	// Streams tells which software began a stream. If it is nil, streams that callers take up
+	// again are refused.
+	Streams StreamDirectory
 	// RevokeBound limits the age of the last confirmation of the view. Calls that
 	// need an API key are refused once the age reaches it, since the key may have
 	// been revoked. 0 selects DefaultRevokeBound.
@@ -213,6 +216,10 @@
 	triedBackends []string
 	// backend is the name of the backend server tried last.
 	backend string
+	// bound is set once backend servers of one version of the software only, softwareVersion,
+	// can go on with the stream.
+	bound           bool
+	softwareVersion string
 	// lastEventID is the ID of the newest event that the caller has received.
 	lastEventID string
 	// headerWritten is set once the caller has been sent response headers.
@@ -255,6 +262,9 @@
 	defer cancel()
 	c.callCtx, c.ctx = ctx, ctx
 	c.service = routes.PickService(c.route, rand.Uint64N(routes.TotalWeight(c.route)))
+	if err := c.bindResumed(ctx); err != nil {
+		return err
+	}
 	c.accountSalt = saltOf(c.account)
 	c.promptLevels = levelsOf(c.route, c.call, c.accountSalt)
 	c.lastEventID = c.call.LastEventID
--- /dev/null
+++ b/internal/forward/streams.go
@@ -0,0 +1,68 @@
+package forward
+
+import (
+	"context"
+
+	"parsleypulley/internal/fault"
+	"parsleypulley/internal/routing"
+	"parsleypulley/internal/streamrecord"
+)
+
+// StreamDirectory keeps the knowledge which software began a stream, for all routers.
+type StreamDirectory interface {
+	// Began records which software began a stream.
+	Began(key streamrecord.Key, software streamrecord.Software)
+	// Find returns the software that began a stream, or streamrecord.Unknown.
+	Find(ctx context.Context, key streamrecord.Key) streamrecord.Software
+}
+
+// streamKey returns the key of the call's stream: the call that brought its first event.
+func (c *forwardedCall) streamKey() streamrecord.Key {
+	id := c.call.ID
+	if c.call.LastEventID != "" {
+		id = c.call.BeganAs
+	}
+	return streamrecord.KeyOf(c.account.GetName(), id)
+}
+
+// bindStarted binds a stream of which the caller is about to get the first event of this call to
+// the software that sends it, and records that.
+func (c *forwardedCall) bindStarted(d *routing.Decision) {
+	c.bound, c.softwareVersion = true, d.Backend.GetSoftwareVersion()
+	if c.f.opts.Streams != nil && c.route.GetResumable() {
+		c.f.opts.Streams.Began(c.streamKey(), streamrecord.SoftwareOf(c.service, c.softwareVersion))
+	}
+}
+
+// bindResumed binds a call that goes on with a stream to the software that began it. It selects
+// the service to which that belongs, among those of the route.
+func (c *forwardedCall) bindResumed(ctx context.Context) error {
+	if c.call.LastEventID == "" || !c.route.GetStream() {
+		return nil
+	}
+	software := streamrecord.Unknown
+	if c.f.opts.Streams != nil && c.call.BeganAs != "" {
+		software = c.f.opts.Streams.Find(ctx, c.streamKey())
+	}
+	if software == streamrecord.Unknown {
+		return fault.New(fault.Unavailable, fault.NotRun, "it is not known which software began the stream")
+	}
+	for _, m := range c.f.opts.Views.Load().Members() {
+		b := m.GetBackend()
+		if streamrecord.SoftwareOf(b.GetService(), b.GetSoftwareVersion()) == software && c.mayUse(b.GetService()) {
+			c.bound, c.softwareVersion, c.service = true, b.GetSoftwareVersion(), b.GetService()
+			return nil
+		}
+	}
+	return fault.New(fault.NoBackend, fault.NotRun, "no backend server has the software that began the stream")
+}
+
+// mayUse reports whether the route forwards calls to a service.
+func (c *forwardedCall) mayUse(service string) bool {
+	for _, part := range c.route.GetSplit() {
+		if part.GetService() == service && part.GetWeight() > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -16,6 +16,7 @@
 	"parsleypulley/internal/follow"
 	"parsleypulley/internal/forward"
 	"parsleypulley/internal/link"
+	"parsleypulley/internal/streamrecord"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -67,15 +68,19 @@
 	views := view.NewLog(view.DefaultLogLimits())
 	control := controlclient.New(p.Pool, o.Settings.Control, views.Version)
 	var forwarder *forward.Forwarder
+	streams := streamrecord.NewDirectory(o.Settings.Address(), p.Pool)
 	driver := follow.New(follow.Options{
 		Role: view.RoleRouter, Seed: RandomSeed(o.Settings.Name), Log: views, Pool: p.Pool,
 		Sources: controlSources(o.Settings.Control, ""), SelfAddress: o.Settings.Address(),
 		OnControlChanged: control.SetAddresses,
-		OnLoads:          func(digest *wire.LoadDigest) { forwarder.ApplyLoads(digest) },
+		OnLoads: func(digest *wire.LoadDigest) {
+			forwarder.ApplyLoads(digest)
+			streams.Told(digest.GetRouters())
+		},
 	})
 	forwarder = forward.New(forward.Options{
 		Domain: o.Settings.Domain, Seed: RandomSeed(o.Settings.Name), Views: views.Store(), Freshness: driver.Freshness, SourceAddress: driver.SourceAddress,
-		Dialect: o.Dialect, Control: control, Permits: control, Budget: o.Budget, RevokeBound: o.RevokeBound, WeightsBound: o.WeightsBound,
+		Dialect: o.Dialect, Control: control, Permits: control, Streams: streams, Budget: o.Budget, RevokeBound: o.RevokeBound, WeightsBound: o.WeightsBound,
 	})
 	daemon.PublishView(views, driver)
 	go driver.Run(p.Context)
@@ -83,9 +88,10 @@
 		go o.WatchControlAddresses(p.Context, func(addresses []string) { driver.SetConfiguredSources(controlSources(addresses, "")) })
 	}
 	go forwarder.Run(p.Context)
+	go streams.Run(p.Context, control.Hello)
 	watches := follow.NewServer(views, driver.Freshness, view.MaxWatchesOther)
 	watches.ControlAddresses = driver.ControlAddresses
-	if err := p.Serve(ViewHandler(watches, link.RoleRouter), forwarder.Ready); err != nil {
+	if err := p.Serve(routerHandler(streams, ViewHandler(watches, link.RoleRouter)), forwarder.Ready); err != nil {
 		return err
 	}
 	var stopping atomic.Bool
@@ -134,6 +140,16 @@
 	return mux
 }
 
+// routerHandler serves the records of streams to other routers, and other calls by next.
+func routerHandler(streams *streamrecord.Directory, next link.Handler) link.Handler {
+	return link.HandlerFunc(func(ctx context.Context, call *link.Call) error {
+		if ok, err := streams.Serve(call); ok {
+			return err
+		}
+		return next.ServeLink(ctx, call)
+	})
+}
+
 // ViewHandler serves the view to other processes and answers pings.
 func ViewHandler(server *follow.Server, role string) link.Handler {
 	return link.HandlerFunc(func(ctx context.Context, call *link.Call) error {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -121,6 +121,10 @@
 	// MinWeightsVersion is the version of weights below which no backend server
 	// is chosen.
 	MinWeightsVersion uint64
+	// SoftwareVersion is the only version of the backend servers' software that may be
+	// chosen if BoundToSoftware is set, since it began the stream.
+	SoftwareVersion string
+	BoundToSoftware bool
 
 	// withRoom leaves out backend servers whose limit has no room.
 	withRoom bool
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -159,7 +159,9 @@
 }
 
 // fits reports whether the backend server can serve the request.
-func (s *server) fits(req *Request) bool { return s.weightsVersion >= req.MinWeightsVersion }
+func (s *server) fits(req *Request) bool {
+	return s.weightsVersion >= req.MinWeightsVersion && (!req.BoundToSoftware || s.backend.SoftwareVersion == req.SoftwareVersion)
+}
 
 // triedBy reports whether the request was sent to the backend server before.
 func (s *server) triedBy(req *Request) bool { return slices.Contains(req.Tried, s.backend.Name) }
