dispatch: a stream behind agents goes on only at the software version that began it

Engines tell their software's version in their health, agents announce it. Once the caller has a part of the response, later attempts are bound to the version that sent it.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -248,6 +248,7 @@
 		Models:            models,
 		ChecksFencing:     a.health.ChecksFencing,
 		MaxRunning:        uint32(maxRunning),
+		SoftwareVersion:   a.health.SoftwareVersion,
 	}
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -57,6 +57,8 @@
 	state   attemptState
 	backend string
 	head    *Head
+	// softwareVersion is the version of the backend server's software.
+	softwareVersion string
 	// nextSequence is the sequence number of the next expected chunk.
 	nextSequence uint64
 	// resumes is how often the stream was resumed.
@@ -83,6 +85,8 @@
 	tokens uint64
 	// weightsVersion is the weights version of the first launched attempt.
 	weightsVersion string
+	// softwareVersion is that of the backend server whose head was sent to the caller.
+	softwareVersion string
 	// crashes counts the engine crashes during the request's attempts.
 	crashes int
 	// mayHaveRun is set once an attempt may have run: it was cancelled, its engine
@@ -164,11 +168,13 @@
 	a := &attempt{number: uint32(len(m.attempts) + 1), nextSequence: 1}
 	m.attempts = append(m.attempts, a)
 	m.emit(Launch{
-		Attempt:        a.number,
-		ResumeOffset:   m.tokens,
-		WeightsVersion: m.weightsVersion,
-		Exclude:        slices.Clone(m.exclude),
-		Suspect:        m.crashes > 0,
+		Attempt:         a.number,
+		ResumeOffset:    m.tokens,
+		WeightsVersion:  m.weightsVersion,
+		SoftwareVersion: m.softwareVersion,
+		BoundToSoftware: m.headSent,
+		Exclude:         slices.Clone(m.exclude),
+		Suspect:         m.crashes > 0,
 	})
 }
 
@@ -178,7 +184,7 @@
 		return
 	}
 	a.state = running
-	a.backend = ev.Backend
+	a.backend, a.softwareVersion = ev.Backend, ev.SoftwareVersion
 	m.exclude = append(m.exclude, ev.Backend)
 	if ev.HedgeAfter > 0 && m.req.Idempotent && m.winner == nil {
 		a.hedgeAt = now.Add(ev.HedgeAfter)
@@ -254,7 +260,7 @@
 	if m.headSent {
 		return
 	}
-	m.headSent = true
+	m.headSent, m.softwareVersion = true, a.softwareVersion
 	m.emit(SendHead{Head: *a.head, Backend: a.backend, ContentLength: length})
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -25,6 +25,9 @@
 			if a.Suspect {
 				text += " suspect"
 			}
+			if a.BoundToSoftware && a.SoftwareVersion != "" {
+				text += " software " + a.SoftwareVersion
+			}
 			parts = append(parts, text)
 		case ClearCrash:
 			parts = append(parts, "clear crash")
@@ -49,6 +52,10 @@
 	return strings.Join(parts, "; ")
 }
 
+func launchedWith(attempt uint32, backend, software string) Event {
+	return Launched{Attempt: attempt, Backend: backend, WeightsVersion: "w1", SoftwareVersion: software}
+}
+
 func launchedOn(attempt uint32, backend string) Event {
 	return Launched{Attempt: attempt, Backend: backend, WeightsVersion: "w1"}
 }
@@ -89,6 +96,13 @@
 			{chunkOf(1, 1, "x"), 0, "head 200 a -1; send x"},
 			{chunkOf(1, 1, "x"), 0, ""},
 		}},
+		"stream goes on only at the software that began it": {stream, []step{
+			{launchedWith(1, backendA, "s1"), 0, ""},
+			{failedWith(1, fault.BackendRefused, fault.NotRun), 0, "launch 2@0 not[a]"}, // nothing sent yet
+			{launchedWith(2, backendB, "s2"), 0, ""}, {headOf(2), 0, ""},
+			{chunkOf(2, 1, "x"), 0, "head 200 b -1; send x"},
+			{failedWith(2, fault.StreamBroken, fault.Unknown), 0, "launch 3@1 not[a b] software s2"},
+		}},
 		"missing chunk resumes the stream": {stream, []step{
 			{launchedOn(1, backendA), 0, ""}, {headOf(1), 0, ""},
 			{chunkOf(1, 1, "x"), 0, "head 200 a -1; send x"},
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -28,6 +28,9 @@
 	// WeightsVersion is the weights version that the attempt runs on. All later
 	// attempts of the request must use the same version.
 	WeightsVersion string
+	// SoftwareVersion is the version of the backend server's software. Once the caller has a
+	// part of the response, all later attempts must use the same version.
+	SoftwareVersion string
 	// HedgeAfter is how long to wait for the first chunk before a hedge attempt
 	// starts. Zero disables hedging.
 	HedgeAfter time.Duration
@@ -100,6 +103,10 @@
 	// WeightsVersion is the only weights version that may serve the attempt. If
 	// it is empty, any version may.
 	WeightsVersion string
+	// SoftwareVersion is the only version of the backend servers' software that may serve the
+	// attempt, if BoundToSoftware is set.
+	SoftwareVersion string
+	BoundToSoftware bool
 	// Exclude names the backend servers that earlier attempts used.
 	Exclude []string
 	// Suspect is set when an engine crashed while it ran this request.
--- a/internal/engine/dialect/dialect.go
+++ b/internal/engine/dialect/dialect.go
@@ -49,12 +49,14 @@
 
 // Health is the response to GET /health.
 type Health struct {
-	Incarnation    uint64  `json:"incarnation"`
-	Models         []Model `json:"models,omitempty"`
-	Role           string  `json:"role,omitempty"`
-	ChecksFencing  bool    `json:"checks_fencing,omitempty"`
-	MaxRunning     int     `json:"max_running,omitempty"`
-	LoadingWeights bool    `json:"loading_weights,omitempty"`
+	Incarnation   uint64  `json:"incarnation"`
+	Models        []Model `json:"models,omitempty"`
+	Role          string  `json:"role,omitempty"`
+	ChecksFencing bool    `json:"checks_fencing,omitempty"`
+	MaxRunning    int     `json:"max_running,omitempty"`
+	// SoftwareVersion is the version of the engine's software, not of its weights.
+	SoftwareVersion string `json:"software_version,omitempty"`
+	LoadingWeights  bool   `json:"loading_weights,omitempty"`
 }
 
 // Model is one loaded model.
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -48,6 +48,7 @@
 	if l.WeightsVersion != "" {
 		req.WeightsVersion = l.WeightsVersion
 	}
+	req.SoftwareVersion, req.BoundToSoftware = l.SoftwareVersion, l.BoundToSoftware
 	d, err := c.router.selector.startAttempt(&req)
 	if err != nil {
 		go c.post(dispatch.Failed{Attempt: l.Attempt, Err: fault.From(err)})
@@ -69,10 +70,11 @@
 	ctx, span := tracer.Start(attempt.ctx, "router attempt")
 	defer span.End()
 	c.post(dispatch.Launched{
-		Attempt:        attempt.number,
-		Backend:        d.Backend.Name,
-		WeightsVersion: msg.WeightsVersion,
-		HedgeAfter:     c.hedgeAfter(d),
+		Attempt:         attempt.number,
+		Backend:         d.Backend.Name,
+		WeightsVersion:  msg.WeightsVersion,
+		SoftwareVersion: d.Backend.SoftwareVersion,
+		HedgeAfter:      c.hedgeAfter(d),
 	})
 	stream, err := c.router.opts.Pool.Open(ctx, d.Backend.AgentAddress, c.linkRequest(ctx, msg))
 	if err != nil {
--- a/internal/router/fault_test.go
+++ b/internal/router/fault_test.go
@@ -341,3 +341,37 @@
 	is.True(limited.standin.Inject(standin.Fault{Kind: standin.FaultLimit}))
 	waitFor(t, func() bool { return send(0) == http.StatusOK && send(1) == http.StatusOK && send(0) == http.StatusOK })
 }
+
+// Guards against a stream that goes on at an engine with other software than the one that began it.
+func TestStreamBehindAgentGoesOnAtItsSoftware(t *testing.T) {
+	for _, test := range []struct {
+		versions []string
+		whole    bool
+	}{
+		{[]string{"s1", "s2", "s1", "s2"}, true},
+		{[]string{"s1", "s2"}, false},
+	} {
+		is := is.New(t)
+		s := newStack(t)
+		var engines []*testBackend
+		for i, version := range test.versions {
+			engines = append(engines, s.addBackend(fmt.Sprint("engine-", i), "", standin.Options{SoftwareVersion: version, OutputTokens: 12}))
+		}
+		url := s.addRouter()
+		for _, b := range engines {
+			is.True(b.standin.Inject(standin.Fault{Kind: standin.FaultCut, After: 4, Count: 1}))
+		}
+		resp, err := http.DefaultClient.Do(newRequest(t, "POST", url+"/v1/chat/completions", strings.Replace(chatBody, "{", `{"stream":true,`, 1)))
+		is.NoErr(err)
+		data, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		is.NoErr(err)
+		used := map[string]int{}
+		for i, b := range engines {
+			used[test.versions[i]] += len(b.standin.Counts().Requests)
+		}
+		t.Logf("requests by software: %v", used)
+		is.True(used["s1"] == 0 || used["s2"] == 0)
+		is.Equal(strings.Contains(string(data), "[DONE]"), test.whole && !strings.Contains(string(data), `"error"`))
+	}
+}
--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -21,7 +21,7 @@
 }
 
 func (inst *instance) serveHealth(w http.ResponseWriter, _ *http.Request) {
-	health := dialect.Health{Incarnation: inst.incarnation}
+	health := dialect.Health{Incarnation: inst.incarnation, SoftwareVersion: inst.options.SoftwareVersion}
 	if e := inst.engine; e != nil {
 		e.mu.Lock()
 		health.Models = slices.Clone(e.models)
--- a/internal/standin/options.go
+++ b/internal/standin/options.go
@@ -40,6 +40,8 @@
 	// Models are the models that an engine has loaded when it starts, also after a
 	// crash.
 	Models []dialect.Model
+	// SoftwareVersion is the version of the software that the server says it has.
+	SoftwareVersion string
 	// MaxRunning is the number of requests that run at a time; further ones wait.
 	MaxRunning int
 	// CacheBlocks is the capacity of the prefix cache in blocks, and BlockTokens
