--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -76,7 +76,7 @@
 	fraction float64
 }
 
-// NewHolder returns the Holder of a router's run, which name identifies.
+// NewHolder returns the Holder of the router that name identifies.
 func NewHolder(name string) *Holder {
 	return &Holder{name: name, servers: map[Key]*server{}, interval: MinInterval}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -158,7 +158,7 @@
 }
 
 // New returns a router in the given failure domain. The seed determines its
-// random candidates.
+// random candidates, and identifies the router to the leader.
 func New(domain string, seed uint64) *Router {
 	return &Router{
 		domain:       domain,
@@ -171,7 +171,7 @@
 		hitEstimator: newHitEstimator(),
 		requestShare: newShareEstimate(),
 		notices:      make(map[instance]*notices),
-		permits:      permit.NewHolder(strconv.FormatUint(rand.Uint64(), 36)),
+		permits:      permit.NewHolder(strconv.FormatUint(seed, 36)),
 	}
 }
 
