permit: the rate of permits is measured over the time between two replies

Retry-After spaces callers at the rate at which permits come. That was taken as a reply's permits over the interval between two requests that are due, though permits may be asked for more often: asked every 50 ms, the 32nd caller was told to come back too late by a multiple (TestRetryAfterFollowsRateOfPermits failed before).

--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -19,6 +19,8 @@
 	// repeatTime is the time after which a router tells the leader again what it has heard
 	// from a backend server.
 	repeatTime = 2 * time.Second
+	// maxRetryAfter limits the time after which a caller is told to come back.
+	maxRetryAfter = 10 * time.Second
 )
 
 // Holder keeps the permits of one router.
@@ -29,6 +31,8 @@
 	interval time.Duration
 	// grantedPerSecond is the rate at which permits came lately.
 	grantedPerSecond float64
+	// lastReply is the time at which the last request that was answered was sent.
+	lastReply time.Time
 	// nextReturn is the time at which the next refused caller is to come back.
 	nextReturn time.Time
 	// lastRequest is the time of the last request for permits.
@@ -201,9 +205,6 @@
 	return max(h.nextReturn.Sub(now), h.interval)
 }
 
-// maxRetryAfter limits the time after which a caller is told to come back.
-const maxRetryAfter = 10 * time.Second
-
 // Interval returns the time between two requests for permits.
 func (h *Holder) Interval() time.Duration { return h.interval }
 
@@ -353,8 +354,13 @@
 			s.batches = append(s.batches, batch{urgency: i, permits: int(permits), expires: sentAt.Add(Lifetime)})
 		}
 	}
-	rate := float64(granted) / h.interval.Seconds()
-	h.grantedPerSecond += (rate - h.grantedPerSecond) * (1 - math.Exp(-h.interval.Seconds()/demandTime.Seconds()))
+	elapsed := sentAt.Sub(h.lastReply)
+	if elapsed <= 0 {
+		return // overtaken by the reply to a later request
+	}
+	h.lastReply = sentAt
+	seconds := min(elapsed, demandTime).Seconds()
+	h.grantedPerSecond += (float64(granted)/seconds - h.grantedPerSecond) * (1 - math.Exp(-seconds/demandTime.Seconds()))
 }
 
 // Empty reports whether no backend server is known to have, or to have had, a limit.
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"parsleypulley/internal/wire"
 )
 
 // Guards against an end of a limit that an answer under way from before the limit seems to tell.
@@ -50,3 +52,28 @@
 	is.True(b.Wait(now) <= 4*time.Second)
 	is.True(b.TryTake(now.Add(4 * time.Second)))
 }
+
+// Guards against times to come back that depend on how often a router asks for permits: callers return at
+// the rate at which permits come.
+func TestRetryAfterFollowsRateOfPermits(t *testing.T) {
+	for _, interval := range []time.Duration{50 * time.Millisecond, 250 * time.Millisecond, 750 * time.Millisecond} {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		h := NewHolder("router")
+		h.Heard(now, now, 1, 8)
+		const perSecond = 8
+		granted := 0.0
+		for range int(10 * time.Second / interval) {
+			now = now.Add(interval)
+			granted += perSecond * interval.Seconds()
+			h.Receive(now, now, &wire.PermitReply{Grants: []*wire.PermitGrant{{Server: 1, Permits: []uint32{uint32(granted)}}}})
+			granted -= float64(int(granted))
+		}
+		var last time.Duration
+		for range 4 * perSecond {
+			last = h.RetryAfter(now)
+		}
+		t.Logf("asked each %v: the %dth caller comes back after %v", interval, 4*perSecond, last)
+		is.True(last > 3*time.Second && last < 5*time.Second)
+	}
+}
