--- a/internal/control/cache_tracker_test.go
+++ b/internal/control/cache_tracker_test.go
@@ -51,19 +51,19 @@
 // Digests of an earlier leader and older digests of the same leader have no effect.
 func TestDigestTrackerKeepsNewest(t *testing.T) {
 	is := is.New(t)
-	tracker := newDigestTracker()
+	tracker := NewDigestTracker()
 	_, first := tracker.Digest()
-	tracker.put(&wire.LoadDigest{Term: 3, Number: 2})
+	tracker.Put(&wire.LoadDigest{Term: 3, Number: 2})
 	select {
 	case <-first:
 	default:
 		t.Fatal("the channel was not closed on the first digest")
 	}
-	tracker.put(&wire.LoadDigest{Term: 3, Number: 2})
-	tracker.put(&wire.LoadDigest{Term: 2, Number: 9})
+	tracker.Put(&wire.LoadDigest{Term: 3, Number: 2})
+	tracker.Put(&wire.LoadDigest{Term: 2, Number: 9})
 	d, _ := tracker.Digest()
 	is.Equal(d.GetNumber(), uint64(2))
-	tracker.put(&wire.LoadDigest{Term: 4, Number: 1})
+	tracker.Put(&wire.LoadDigest{Term: 4, Number: 1})
 	d, _ = tracker.Digest()
 	is.Equal(d.GetTerm(), uint64(4))
 }
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -38,7 +38,7 @@
 	node    *consensus.Node
 	machine *Machine
 	options Options
-	tracker *digestTracker
+	tracker *DigestTracker
 
 	mu sync.Mutex
 	// term is the leadership term to which the fields below belong. It is 0 while this
@@ -54,7 +54,7 @@
 }
 
 func newLeader(node *consensus.Node, machine *Machine, options Options) *leader {
-	return &leader{node: node, machine: machine, options: options, tracker: newDigestTracker()}
+	return &leader{node: node, machine: machine, options: options, tracker: NewDigestTracker()}
 }
 
 func (l *leader) run(ctx context.Context) {
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -31,19 +31,20 @@
 	sendDigestTimeout = 400 * time.Millisecond
 )
 
-// digestTracker holds the newest digest of load reports that this process has. It is safe
+// DigestTracker holds the newest digest of load reports that this process has. It is safe
 // for concurrent use.
-type digestTracker struct {
+type DigestTracker struct {
 	mu     sync.Mutex
 	digest *wire.LoadDigest
 	// changed is closed when digest is replaced.
 	changed chan struct{}
 }
 
-func newDigestTracker() *digestTracker { return &digestTracker{changed: make(chan struct{})} }
+// NewDigestTracker returns a tracker without a digest.
+func NewDigestTracker() *DigestTracker { return &DigestTracker{changed: make(chan struct{})} }
 
-// put stores a digest if it is newer than the present one.
-func (t *digestTracker) put(d *wire.LoadDigest) {
+// Put stores a digest if it is newer than the present one.
+func (t *DigestTracker) Put(d *wire.LoadDigest) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.digest
@@ -57,7 +58,7 @@
 
 // Digest returns the newest digest and a channel that is closed once there is a newer
 // one. The digest must not be modified.
-func (t *digestTracker) Digest() (*wire.LoadDigest, <-chan struct{}) {
+func (t *DigestTracker) Digest() (*wire.LoadDigest, <-chan struct{}) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.digest, t.changed
@@ -110,7 +111,7 @@
 			lastCacheDigest = time.Now()
 			addCacheFilters(digest, caches, replies, stores)
 		}
-		l.tracker.put(digest)
+		l.tracker.Put(digest)
 		l.sendDigest(ctx, digest)
 	}
 }
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -49,7 +49,7 @@
 type RelayService struct {
 	opts    RelayOptions
 	views   *follow.Server
-	tracker *digestTracker
+	tracker *DigestTracker
 
 	mu        sync.Mutex
 	joinQueue joinQueue
@@ -57,7 +57,7 @@
 
 // NewRelayService returns the link handler of a relay.
 func NewRelayService(opts RelayOptions) *RelayService {
-	s := &RelayService{opts: opts, tracker: newDigestTracker()}
+	s := &RelayService{opts: opts, tracker: NewDigestTracker()}
 	s.views = follow.NewServer(opts.Log, opts.Freshness, view.MaxWatchesOther)
 	s.views.ControlAddresses = opts.Control
 	s.views.LoadDigest = s.tracker.Digest
@@ -65,7 +65,7 @@
 }
 
 // Loads stores a digest of load reports if it is newer than the present one.
-func (s *RelayService) Loads(digest *wire.LoadDigest) { s.tracker.put(digest) }
+func (s *RelayService) Loads(digest *wire.LoadDigest) { s.tracker.Put(digest) }
 
 // StopWatches ends the view watches of other processes before a planned stop.
 func (s *RelayService) StopWatches() { s.views.Close() }
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -100,7 +100,7 @@
 		if err := call.RequireRole(link.RoleControl); err != nil {
 			return err
 		}
-		s.leader.tracker.put(body.PushLoads)
+		s.leader.tracker.Put(body.PushLoads)
 		return s.answer(call, &wire.Response{})
 	case *wire.Request_Permits:
 		return s.permits(call, body.Permits)
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"parsleypulley/internal/backoff"
+	"parsleypulley/internal/control"
 	"parsleypulley/internal/controlclient"
 	"parsleypulley/internal/daemon"
 	"parsleypulley/internal/event"
@@ -66,21 +67,23 @@
 		return err
 	}
 	views := view.NewLog(view.DefaultLogLimits())
-	control := controlclient.New(p.Pool, o.Settings.Control, views.Version)
+	client := controlclient.New(p.Pool, o.Settings.Control, views.Version)
 	var forwarder *forward.Forwarder
+	digests := control.NewDigestTracker()
 	streams := streamrecord.NewDirectory(o.Settings.Address(), p.Pool)
 	driver := follow.New(follow.Options{
 		Role: view.RoleRouter, Seed: RandomSeed(o.Settings.Name), Log: views, Pool: p.Pool,
 		Sources: controlSources(o.Settings.Control, ""), SelfAddress: o.Settings.Address(),
-		OnControlChanged: control.SetAddresses,
+		OnControlChanged: client.SetAddresses,
 		OnLoads: func(digest *wire.LoadDigest) {
+			digests.Put(digest)
 			forwarder.ApplyLoads(digest)
 			streams.Told(digest.GetRouters())
 		},
 	})
 	forwarder = forward.New(forward.Options{
 		Domain: o.Settings.Domain, Seed: RandomSeed(o.Settings.Name), Views: views.Store(), Freshness: driver.Freshness, SourceAddress: driver.SourceAddress,
-		Dialect: o.Dialect, Control: control, Permits: control, Streams: streams, Budget: o.Budget, RevokeBound: o.RevokeBound, WeightsBound: o.WeightsBound,
+		Dialect: o.Dialect, Control: client, Permits: client, Streams: streams, Budget: o.Budget, RevokeBound: o.RevokeBound, WeightsBound: o.WeightsBound,
 	})
 	daemon.PublishView(views, driver)
 	go driver.Run(p.Context)
@@ -88,9 +91,10 @@
 		go o.WatchControlAddresses(p.Context, func(addresses []string) { driver.SetConfiguredSources(controlSources(addresses, "")) })
 	}
 	go forwarder.Run(p.Context)
-	go streams.Run(p.Context, control.Hello)
+	go streams.Run(p.Context, client.Hello)
 	watches := follow.NewServer(views, driver.Freshness, view.MaxWatchesOther)
 	watches.ControlAddresses = driver.ControlAddresses
+	watches.LoadDigest = digests.Digest // for routers that follow this one
 	if err := p.Serve(routerHandler(streams, ViewHandler(watches, link.RoleRouter)), forwarder.Ready); err != nil {
 		return err
 	}
--- a/internal/streamrecord/directory.go
+++ b/internal/streamrecord/directory.go
@@ -26,6 +26,9 @@
 // records counts what happens to records, by kind.
 var records = expvar.NewMap("stream_records")
 
+// peers is the number of other routers that this one knows.
+var peers = expvar.NewInt("stream_peers")
+
 // Caller calls other processes by link.
 type Caller interface {
 	Call(ctx context.Context, address string, req *wire.Request) (*wire.Response, error)
@@ -73,6 +76,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.peers.Told(time.Now(), addresses)
+	peers.Set(int64(len(d.peers.listedAt)))
 }
 
 // Began records which software began a stream, and tells other routers in the background.
