forward: a refusal without an ID promises nothing

Callers saw: calls that may run only once ran at two backend servers, or were answered 503 while they ran. A faulty backend server wrote a refusal (or 421) without an ID on a connection that was in use again, or before it had read the request, and then ran the request. Cause: a response without an ID and without the backend server's stamp counted as that of the waiting call. A connection is not kept after such a response, but it may come after responses with IDs, or first of all. Change: it counts no more. A call that may run only once goes on waiting for its own response on the connection; any other call is tried elsewhere, as one that may have run. Backend servers echo the ID of each request that they have read, so sound refusals are retried as before. A backend server that does not echo the ID in refusals costs callers of at-most-once calls a 502, or a 504 if it keeps the connection open; the metric forward_refusals counts such responses (without_id). Changed test: TestResponsesUnderBackendFaults/refusal_of_an_at-most-once_call had a refusal without an ID and wanted a second attempt, which is the fault. Its refusal now has the ID; two new cases are the refusal without an ID (502 and one attempt at most once, a second attempt if idempotent).

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -168,6 +168,9 @@
 		return c.forwardResponse(d, resp, outcome)
 	}
 	resp.discard()
+	if !outcome.mayHaveRun() {
+		refusals.Add("counted", 1)
+	}
 	return &failure{outcome, fmt.Errorf("status %d", resp.status)}, Step{}
 }
 
@@ -175,6 +178,8 @@
 // response show, or 0 if they show no failure.
 func classifyResponse(r *response) Outcome {
 	switch {
+	case r.info.ID == "":
+		return InvalidResponse // it may belong to another call
 	case r.info.Misdirected:
 		return Misdirected
 	case r.info.NotExecuted:
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -263,7 +263,8 @@
 	truncate := func(c net.Conn, r *http.Request) {
 		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCall: %s\r\nSigned: yes\r\nContent-Length: 100\r\n\r\npart", r.Header.Get("Call"))
 	}
-	refuse := func(c net.Conn, r *http.Request) {
+	refuse := func(c net.Conn, r *http.Request) { writeResponse(c, r, 503, "Not-Run: 1\r\n", "") }
+	refuseWithoutID := func(c net.Conn, r *http.Request) {
 		fmt.Fprintf(c, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
 	}
 	succeed := func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "", "whole") }
@@ -279,6 +280,9 @@
 		"incomplete response to an at-most-once call":       {setAtMostOnce, truncate, 502, "", 1},
 		"connection closed before the response":             {setAtMostOnce, func(net.Conn, *http.Request) {}, 502, "", 1},
 		"refusal of an at-most-once call":                   {setAtMostOnce, refuse, 200, "whole", 2},
+		"refusal of an idempotent call":                     {nil, refuse, 200, "whole", 2},
+		"refusal without an ID of an at-most-once call":     {setAtMostOnce, refuseWithoutID, 502, "", 1},
+		"refusal without an ID of an idempotent call":       {nil, refuseWithoutID, 200, "whole", 2},
 		"another backend server at the address":             {setAtMostOnce, func(c net.Conn, r *http.Request) { writeResponse(c, r, 421, "", "") }, 200, "whole", 2},
 		"success without the backend server's header":       {setAtMostOnce, func(c net.Conn, r *http.Request) { io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi") }, 502, "", 1},
 		"bytes that are not an HTTP response":               {setAtMostOnce, func(c net.Conn, r *http.Request) { io.WriteString(c, "garbage\r\n\r\n") }, 502, "", 1},
--- /dev/null
+++ b/internal/forward/refusals_test.go
@@ -0,0 +1,192 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"parsleypulley/internal/wire"
+)
+
+// refusalOf returns a refusal of the call with an ID; empty for a refusal without an ID.
+func refusalOf(id string) string {
+	if id != "" {
+		id = "Call: " + id + "\r\n"
+	}
+	return "HTTP/1.1 503 X\r\n" + id + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n"
+}
+
+// misdirectionOf returns the same for a status of 421.
+func misdirectionOf(id string) string {
+	if id != "" {
+		id = "Call: " + id + "\r\n"
+	}
+	return "HTTP/1.1 421 X\r\n" + id + "Content-Length: 0\r\n\r\n"
+}
+
+// answerOf returns the answer to a call that has run.
+func answerOf(id string) string {
+	return fmt.Sprintf("HTTP/1.1 200 X\r\nCall: %s\r\nSigned: yes\r\nContent-Length: 5\r\n\r\nwhole", id)
+}
+
+// runCounter counts how often each call was run, at all servers of a test.
+type runCounter struct {
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func newRunCounter() *runCounter { return &runCounter{runs: map[string]int{}} }
+
+// run counts a run and answers it.
+func (n *runCounter) run(c net.Conn, r *http.Request) {
+	n.mu.Lock()
+	n.runs[r.Header.Get("Call")]++
+	n.mu.Unlock()
+	io.WriteString(c, answerOf(r.Header.Get("Call")))
+}
+
+func (n *runCounter) of(id string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.runs[id]
+}
+
+// acceptingBackend is like startBackend, but writes a greeting on each connection before it reads.
+func acceptingBackend(t *testing.T, greeting string, script backendScript) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				io.WriteString(c, greeting)
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					script(c, r)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// Guards against a refusal that does not certainly belong to an attempt and is taken for the promise
+// that the attempt has not run: a call that ran must not be answered as not run, and a call that may run
+// only once must not run at a second backend server.
+func TestUncertainRefusalsPromiseNothing(t *testing.T) {
+	for name, test := range map[string]struct {
+		// greeting is written by the faulty backend server when it accepts a connection.
+		greeting string
+		// faulty returns what the faulty backend server writes before the answer to a request, which
+		// is the n-th with its ID, and whether it runs the request.
+		faulty func(id string, n, onConnection int) (before string, runs bool)
+		// calls are the IDs of the calls. The last one is the one that is checked.
+		calls []string
+		// served is set if the last call must be served nevertheless.
+		served bool
+	}{
+		"a refusal without an ID on a connection in use again": {faulty: func(id string, _, onConnection int) (string, bool) {
+			if onConnection > 1 {
+				return refusalOf(""), true
+			}
+			return "", true
+		}, calls: []string{"c1", "c2"}, served: true},
+		"421 without an ID on a connection in use again": {faulty: func(id string, _, onConnection int) (string, bool) {
+			if onConnection > 1 {
+				return misdirectionOf(""), true
+			}
+			return "", true
+		}, calls: []string{"c1", "c2"}, served: true},
+		"two refusals, the copy without an ID": {faulty: func(id string, _, onConnection int) (string, bool) {
+			if onConnection > 1 {
+				return refusalOf(""), true
+			}
+			return refusalOf(id), false
+		}, calls: []string{"c1", "c2"}, served: true},
+		"a refusal without an ID before anything was read": {greeting: refusalOf(""),
+			faulty: func(string, int, int) (string, bool) { return "", true }, calls: []string{"c1"}, served: true},
+		"421 without an ID before anything was read": {greeting: misdirectionOf(""),
+			faulty: func(string, int, int) (string, bool) { return "", true }, calls: []string{"c1"}, served: true},
+		"a refusal without an ID, and the call runs": {faulty: func(string, int, int) (string, bool) { return refusalOf(""), true }, calls: []string{"c1"}, served: true},
+		"an interim response that states a refusal": {faulty: func(id string, _, _ int) (string, bool) {
+			return "HTTP/1.1 103 X\r\nCall: " + id + "\r\nNot-Run: 1\r\n\r\n", true
+		}, calls: []string{"c1"}, served: true},
+		"429 of a peer between": {faulty: func(string, int, int) (string, bool) { return "HTTP/1.1 429 X\r\nContent-Length: 0\r\n\r\n", true }, calls: []string{"c1"}},
+		"408 of a peer between": {faulty: func(string, int, int) (string, bool) { return "HTTP/1.1 408 X\r\nContent-Length: 0\r\n\r\n", true }, calls: []string{"c1"}},
+		"503 of a peer between": {faulty: func(string, int, int) (string, bool) { return "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", true }, calls: []string{"c1"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			count := newRunCounter()
+			var r *fixture
+			sound := startBackend(t, func(c net.Conn, r *http.Request) { count.run(c, r) })
+			var mu sync.Mutex
+			seen, onConnection, total := map[string]int{}, map[net.Conn]int{}, 0
+			script := func(c net.Conn, req *http.Request) {
+				id := req.Header.Get("Call")
+				mu.Lock()
+				seen[id]++
+				onConnection[c]++
+				total++
+				n, index, last := seen[id], onConnection[c], total == len(test.calls)
+				mu.Unlock()
+				if last { // a second server, so that the call can run there too
+					r.setBackend(1, sound, wire.BackendState_BACKEND_STATE_READY)
+					r.f.selector.setView(r.log.Snapshot())
+				}
+				before, runs := test.faulty(id, n, index)
+				if !runs {
+					io.WriteString(c, before)
+					return
+				}
+				count.run(joined{c, before}, req) // in one piece: the answer is there when the refusal was read
+			}
+			r = newFixture(t, forwardRoute(setAtMostOnce), acceptingBackend(t, test.greeting, script))
+			for i, id := range test.calls {
+				r.forgetFailures()
+				before := count.of(id)
+				status, _, _, err := r.call("Call", id)
+				is.NoErr(err)
+				if i < len(test.calls)-1 {
+					continue
+				}
+				time.Sleep(20 * time.Millisecond) // a greeting comes before the request is read
+				runs := count.of(id) - before
+				t.Logf("status %d, %d runs", status, runs)
+				is.True(runs <= 1)
+				is.True(!impliesNotExecuted(status) || runs == 0)
+				is.True(!test.served || status == 200)
+			}
+		})
+	}
+}
+
+// joined writes a text and what is written to it in one piece.
+type joined struct {
+	net.Conn
+	before string
+}
+
+func (j joined) Write(p []byte) (int, error) {
+	_, err := j.Conn.Write(append([]byte(j.before), p...))
+	return len(p), err
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,10 @@
 	"time"
 )
 
+// refusals counts the responses that state that a call was not executed: those that count as
+// refusals, and those that may belong to another call or to none, by the reason.
+var refusals = expvar.NewMap("forward_refusals")
+
 // maxBufferedBody limits the part of a response body that is buffered before any
 // of it is forwarded. The rest of a longer body is forwarded as it arrives.
 const maxBufferedBody = 256 << 10
@@ -67,7 +72,7 @@
 	resp, reqWrite, sent, err := c.roundTrip(ctx, req, len(body), func(resp *http.Response) bool {
 		info = f.dialect.ReadResponse(resp.StatusCode, resp.Header)
 		observe(info)
-		return info.ID == callID || info.ID == "" && !info.FromBackend
+		return belongsTo(info, callID, atMostOnce)
 	})
 	if err != nil {
 		stop()
@@ -87,6 +92,23 @@
 		body: resp.Body, pool: f.connPool, conn: c, resp: resp, reqWrite: reqWrite, stop: stop}, nil
 }
 
+// belongsTo reports whether a response is taken for the one to the call with the given ID. A
+// refusal without an ID may be a copy of an earlier one, or written before the call was read,
+// and then the call runs. A call that must not run twice waits for its own response behind it.
+// Any other call is tried elsewhere at once; see classifyResponse.
+func belongsTo(info ResponseInfo, callID string, atMostOnce bool) bool {
+	switch {
+	case info.ID == callID:
+		return true
+	case info.ID != "" || info.FromBackend:
+		return false
+	case info.NotExecuted || info.Misdirected:
+		refusals.Add("without_id", 1)
+		return !atMostOnce
+	}
+	return true
+}
+
 // withCause wraps the error of a connection with the reason why ctx ended, if it
 // did.
 func withCause(ctx context.Context, err error) error {
