forward: a refusal of a call whose ID the server had before promises nothing

Callers saw: a call that came again under its ID, and was to run only once, ran at two backend servers. The server had refused it the first time and wrote that refusal once more when the call came again, on another connection, or on the same one after 16 other calls; then it ran the call. Cause: the ID was all that told a copy from the refusal of this attempt, and a connection remembered 16 IDs of answered calls. The same holds for a second instance of a server at the same address. Change: the router remembers for 30 to 60 s which IDs it sent to which address (hashes, at most 65,536). Such a call gets a new connection, as one of the last 16 did before, and a refusal of it counts as an invalid response: 502 at most once, another attempt elsewhere if idempotent. The price: a caller that sends an at-most-once call again under the same ID within that time, and is refused by the same server again, gets 502 in place of another server or 503. Attempts of one call never go to the same server twice, so sound refusals of calls with IDs of their own are retried as before; the metric forward_refusals counts the others (repeated_id). TestSentCallsAreRemembered bounds time and memory.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -180,6 +180,9 @@
 	switch {
 	case r.info.ID == "":
 		return InvalidResponse // it may belong to another call
+	case r.repeated && (r.info.Misdirected || r.info.NotExecuted):
+		refusals.Add("repeated_id", 1)
+		return InvalidResponse // it may be a copy of an earlier refusal
 	case r.info.Misdirected:
 		return Misdirected
 	case r.info.NotExecuted:
--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -6,11 +6,11 @@
 	"errors"
 	"expvar"
 	"fmt"
+	"hash/maphash"
 	"io"
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -56,10 +56,11 @@
 	// maxStrayResponses limits the responses to other calls that are skipped on
 	// one connection.
 	maxStrayResponses = 2
-	// maxAnswered is the number of calls of a connection that are remembered. A call with the
-	// ID of one of them is not sent on it: a late second copy of the earlier answer would be
-	// taken for its own. More calls take longer than copies are late.
-	maxAnswered = 16
+	// sentMemory is how long the IDs of sent calls are remembered at least, unless there are more
+	// than maxSent of them. Late copies of responses come with one of the next calls on a
+	// connection, and a connection with calls all the time may carry thousands.
+	sentMemory = 30 * time.Second
+	maxSent    = 1 << 15
 	// maxHeadBytes limits the head of a response, with the interim responses before it,
 	// and maxInterimResponses their number.
 	maxHeadBytes        = 64 << 10
@@ -79,6 +80,7 @@
 // concurrent use.
 type connPool struct {
 	dialer net.Dialer
+	sent   *sentCalls
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the last used one last.
@@ -86,7 +88,7 @@
 }
 
 func newConnPool() *connPool {
-	return &connPool{dialer: newDialer(), idle: map[string][]*conn{}}
+	return &connPool{dialer: newDialer(), sent: newSentCalls(), idle: map[string][]*conn{}}
 }
 
 // newDialer returns a dialer whose connections end soon after the peer becomes
@@ -120,29 +122,70 @@
 	expires time.Time
 	// lastUsed is the time of the last response.
 	lastUsed time.Time
-	// answered holds the IDs of the last calls on the connection, at most maxAnswered.
-	answered []string
 }
 
-// answers records a call whose answer was read.
-func (c *conn) answers(callID string) {
-	if len(c.answered) >= maxAnswered {
-		c.answered = slices.Delete(c.answered, 0, 1)
+// sentCalls remembers which calls were sent to which addresses. Copies of the responses to them may
+// still come, and have the ID of the call. It is safe for concurrent use.
+type sentCalls struct {
+	seed maphash.Seed
+
+	mu sync.Mutex
+	// current and previous hold the hashes of addresses and IDs, the latter those before turnedAt.
+	current, previous map[uint64]struct{}
+	turnedAt          time.Time
+}
+
+func newSentCalls() *sentCalls { return &sentCalls{seed: maphash.MakeSeed()} }
+
+func (s *sentCalls) hash(address, callID string) uint64 {
+	return maphash.Comparable(s.seed, [2]string{address, callID})
+}
+
+// contains reports whether a call with the ID was sent to the address before.
+func (s *sentCalls) contains(now time.Time, address, callID string) bool {
+	h := s.hash(address, callID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.containsHash(now, h)
+}
+
+// containsHash does the same, and forgets what is too old. s.mu must be held.
+func (s *sentCalls) containsHash(now time.Time, h uint64) bool {
+	if age := now.Sub(s.turnedAt); age >= sentMemory || len(s.current) >= maxSent {
+		s.previous, s.current, s.turnedAt = s.current, map[uint64]struct{}{}, now
+		if age >= 2*sentMemory {
+			s.previous = nil
+		}
 	}
-	c.answered = append(c.answered, callID)
+	if _, found := s.current[h]; found {
+		return true
+	}
+	_, found := s.previous[h]
+	return found
+}
+
+// add records that a call is sent to the address, and reports whether one with the ID was before.
+func (s *sentCalls) add(now time.Time, address, callID string) (again bool) {
+	h := s.hash(address, callID)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	again = s.containsHash(now, h)
+	s.current[h] = struct{}{}
+	return again
 }
 
 // get returns a connection to address: a reusable idle one, or a new one. If
 // maxAge is positive, it limits the time since the last response on a reused
-// connection, which must not have been used for a call with the same ID.
+// connection. A call whose ID was sent to the address before gets a new connection: a late copy of the
+// earlier response would be taken for its own.
 func (p *connPool) get(ctx context.Context, address string, maxAge time.Duration, callID string) (*conn, error) {
 	now := time.Now()
-	for {
+	for !p.sent.contains(now, address, callID) {
 		c := p.pop(address)
 		if c == nil {
 			break
 		}
-		if now.Before(c.expires) && (maxAge <= 0 || now.Sub(c.lastUsed) <= maxAge) && !slices.Contains(c.answered, callID) && c.isReusable() {
+		if now.Before(c.expires) && (maxAge <= 0 || now.Sub(c.lastUsed) <= maxAge) && c.isReusable() {
 			connections.Add("reused", 1)
 			return c, nil
 		}
--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -93,6 +93,10 @@
 // that the attempt has not run: a call that ran must not be answered as not run, and a call that may run
 // only once must not run at a second backend server.
 func TestUncertainRefusalsPromiseNothing(t *testing.T) {
+	many := make([]string, 0, 40) // more calls than a connection remembered
+	for i := range 40 {
+		many = append(many, fmt.Sprint("m", i))
+	}
 	for name, test := range map[string]struct {
 		// greeting is written by the faulty backend server when it accepts a connection.
 		greeting string
@@ -127,6 +131,17 @@
 		"421 without an ID before anything was read": {greeting: misdirectionOf(""),
 			faulty: func(string, int, int) (string, bool) { return "", true }, calls: []string{"c1"}, served: true},
 		"a refusal without an ID, and the call runs": {faulty: func(string, int, int) (string, bool) { return refusalOf(""), true }, calls: []string{"c1"}, served: true},
+		"a copy for a call that comes again after many others": {faulty: func(id string, n, onConnection int) (string, bool) {
+			switch {
+			case id == "c1" && n == 1:
+				return refusalOf(id), false
+			case id == "c1" && onConnection > 1:
+				return refusalOf(id), true
+			}
+			return "", true
+		}, calls: append(append([]string{"c1"}, many...), "c1"), served: true},
+		"a copy on another connection for a call that comes again": {faulty: func(id string, n, _ int) (string, bool) { return refusalOf(id), n > 1 }, calls: []string{"c1", "c1"}},
+		"421 on another connection for a call that comes again":    {faulty: func(id string, n, _ int) (string, bool) { return misdirectionOf(id), n > 1 }, calls: []string{"c1", "c1"}},
 		"an interim response that states a refusal": {faulty: func(id string, _, _ int) (string, bool) {
 			return "HTTP/1.1 103 X\r\nCall: " + id + "\r\nNot-Run: 1\r\n\r\n", true
 		}, calls: []string{"c1"}, served: true},
@@ -190,3 +205,25 @@
 	_, err := j.Conn.Write(append([]byte(j.before), p...))
 	return len(p), err
 }
+
+// Guards against a memory of sent calls that forgets a call before late copies have come, or that grows
+// without bound.
+func TestSentCallsAreRemembered(t *testing.T) {
+	is := is.New(t)
+	s := newSentCalls()
+	now := time.Unix(1000, 0)
+	is.True(!s.contains(now, "a", "c1"))
+	is.True(!s.add(now, "a", "c1"))
+	is.True(s.add(now, "a", "c1"))
+	is.True(!s.contains(now, "b", "c1")) // another address
+	is.True(s.contains(now.Add(sentMemory-1), "a", "c1"))
+	is.True(s.contains(now.Add(sentMemory), "a", "c1"))
+	is.True(!s.contains(now.Add(2*sentMemory), "a", "c1"))
+	is.True(!s.add(now.Add(9*sentMemory), "a", "c1"))
+	for i := range 3 * maxSent {
+		s.add(now.Add(9*sentMemory), "a", fmt.Sprint(i))
+	}
+	is.True(len(s.current)+len(s.previous) <= 2*maxSent)
+	is.True(s.contains(now.Add(9*sentMemory), "a", fmt.Sprint(3*maxSent-1)))
+	is.True(s.contains(now.Add(9*sentMemory), "a", fmt.Sprint(2*maxSent)))
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -38,6 +38,9 @@
 	// stop keeps the end of the call's context from closing the connection. It
 	// returns false if the context has already ended.
 	stop func() bool
+	// repeated is set if a call with the same ID was sent to the address before. The response may be
+	// a copy of the one to it.
+	repeated bool
 }
 
 // failure describes an attempt that ended without a usable response.
@@ -63,6 +66,7 @@
 		c.Close()
 		return nil, &failure{Unsent, err}
 	}
+	repeated := f.connPool.sent.add(time.Now(), address, callID)
 	watched.conn.Store(c)
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.setDeadline(deadline) // fails only on a closed connection, on which the write fails too
@@ -89,7 +93,7 @@
 		return nil, &failure{InvalidResponse, err}
 	}
 	return &response{status: resp.StatusCode, header: resp.Header, info: info, length: resp.ContentLength,
-		body: resp.Body, pool: f.connPool, conn: c, resp: resp, reqWrite: reqWrite, stop: stop}, nil
+		body: resp.Body, pool: f.connPool, conn: c, resp: resp, reqWrite: reqWrite, stop: stop, repeated: repeated}, nil
 }
 
 // belongsTo reports whether a response is taken for the one to the call with the given ID. A
@@ -139,7 +143,6 @@
 		r.conn.Close()
 		return
 	}
-	r.conn.answers(r.info.ID)
 	r.pool.put(r.conn, keep)
 }
 
