forward: a refusal followed by the call's answer promises nothing

Callers saw: an at-most-once call ran at two backend servers. A faulty server refused it (503 with the statement, or 421) and answered it right behind the refusal, on the same connection. Cause: the refusal counted, and the connection was closed or kept without a look at what had come with it. Change: what has arrived behind a refusal is read, without waiting for more. A response to the same call that states something else, also in part, makes the refusal an invalid response. Copies of the refusal, responses to other calls and other bytes belong to no call, and the refusal counts as before; the connection is then closed. What comes later than the refusal was read cannot be told: the server's statement counts.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -167,10 +167,10 @@
 		c.quota.Spend()
 		return c.forwardResponse(d, resp, outcome)
 	}
-	resp.discard()
 	if !outcome.mayHaveRun() {
-		refusals.Add("counted", 1)
+		return resp.refuse(outcome), Step{}
 	}
+	resp.discard()
 	return &failure{outcome, fmt.Errorf("status %d", resp.status)}, Step{}
 }
 
--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -357,25 +357,36 @@
 // isReusable reports whether an idle connection is open and has no unread bytes.
 // Bytes received while idle belong to no call.
 func (c *conn) isReusable() bool {
+	unread, open := c.peek()
+	return !unread && open
+}
+
+// hasUnread reports whether bytes have arrived that were not read.
+func (c *conn) hasUnread() bool {
+	unread, _ := c.peek()
+	return unread
+}
+
+// peek reports whether bytes have arrived that were not read, and whether the connection is open.
+func (c *conn) peek() (unread, open bool) {
 	if c.r.Buffered() > 0 {
-		return false
+		return true, true
 	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return false, true
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, false
 	}
-	empty := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, readErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		empty = errors.Is(readErr, unix.EAGAIN)
+		n, _, readErr := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		unread, open = readErr == nil && n > 0, errors.Is(readErr, unix.EAGAIN)
 		return true
 	})
-	return err == nil && empty
+	return unread, open && err == nil
 }
 
 // errOtherCall is returned when a connection delivered only responses to other
--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -58,8 +60,8 @@
 	return n.runs[id]
 }
 
-// acceptingBackend is like startBackend, but writes a greeting on each connection before it reads.
-func acceptingBackend(t *testing.T, greeting string, script backendScript) string {
+// startListener serves each connection with serve and returns the address.
+func startListener(t *testing.T, serve func(c net.Conn)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -71,24 +73,30 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				defer c.Close()
-				io.WriteString(c, greeting)
-				br := bufio.NewReader(c)
-				for {
-					r, err := http.ReadRequest(br)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, r.Body)
-					script(c, r)
-				}
-			}()
+			go serve(c)
 		}
 	}()
 	return ln.Addr().String()
 }
 
+// acceptingBackend is like startBackend, but writes a greeting on each connection before it reads,
+// and keeps the connections.
+func acceptingBackend(t *testing.T, greeting string, script backendScript) string {
+	return startListener(t, func(c net.Conn) {
+		defer c.Close()
+		io.WriteString(c, greeting)
+		br := bufio.NewReader(c)
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			script(c, r)
+		}
+	})
+}
+
 // Guards against a refusal that does not certainly belong to an attempt and is taken for the promise
 // that the attempt has not run: a call that ran must not be answered as not run, and a call that may run
 // only once must not run at a second backend server.
@@ -105,6 +113,8 @@
 		faulty func(id string, n, onConnection int) (before string, runs bool)
 		// calls are the IDs of the calls. The last one is the one that is checked.
 		calls []string
+		// split is set if the end of the answer comes a little later.
+		split bool
 		// served is set if the last call must be served nevertheless.
 		served bool
 	}{
@@ -142,6 +152,14 @@
 		}, calls: append(append([]string{"c1"}, many...), "c1"), served: true},
 		"a copy on another connection for a call that comes again": {faulty: func(id string, n, _ int) (string, bool) { return refusalOf(id), n > 1 }, calls: []string{"c1", "c1"}},
 		"421 on another connection for a call that comes again":    {faulty: func(id string, n, _ int) (string, bool) { return misdirectionOf(id), n > 1 }, calls: []string{"c1", "c1"}},
+		"a refusal followed by the answer":                         {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id), true }, calls: []string{"c1"}},
+		"421 followed by the answer":                               {faulty: func(id string, _, _ int) (string, bool) { return misdirectionOf(id), true }, calls: []string{"c1"}},
+		"a refusal, its copy and the answer":                       {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id) + refusalOf(id), true }, calls: []string{"c1"}},
+		"a refusal and its copy":                                   {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id) + refusalOf(id), false }, calls: []string{"c1"}, served: true},
+		"a refusal and bytes that are no response":                 {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id) + "beyond\r\n\r\n", false }, calls: []string{"c1"}, served: true},
+		"a refusal and a response to another call":                 {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id) + answerOf("c0"), false }, calls: []string{"c1"}, served: true},
+		"a refusal and the answer in two parts":                    {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id), true }, calls: []string{"c1"}, split: true},
+		"a refusal":                                                {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id), false }, calls: []string{"c1"}, served: true},
 		"an interim response that states a refusal": {faulty: func(id string, _, _ int) (string, bool) {
 			return "HTTP/1.1 103 X\r\nCall: " + id + "\r\nNot-Run: 1\r\n\r\n", true
 		}, calls: []string{"c1"}, served: true},
@@ -173,7 +191,7 @@
 					io.WriteString(c, before)
 					return
 				}
-				count.run(joined{c, before}, req) // in one piece: the answer is there when the refusal was read
+				count.run(joined{c, before, test.split}, req) // in one piece: the answer is there when the refusal was read
 			}
 			r = newFixture(t, forwardRoute(setAtMostOnce), acceptingBackend(t, test.greeting, script))
 			for i, id := range test.calls {
@@ -195,17 +213,64 @@
 	}
 }
 
-// joined writes a text and what is written to it in one piece.
+// joined writes a text and what is written to it in one piece, or all but the last 20 bytes if split is
+// set, and these later.
 type joined struct {
 	net.Conn
 	before string
+	split  bool
 }
 
 func (j joined) Write(p []byte) (int, error) {
-	_, err := j.Conn.Write(append([]byte(j.before), p...))
+	text, rest := append([]byte(j.before), p...), []byte(nil)
+	if j.split {
+		text, rest = text[:len(text)-20], text[len(text)-20:]
+	}
+	_, err := j.Conn.Write(text)
+	if len(rest) > 0 && err == nil {
+		time.Sleep(5 * time.Millisecond)
+		_, err = j.Conn.Write(rest)
+	}
 	return len(p), err
 }
 
+// Guards against a refusal that comes before the call's body was written, and is no longer taken for
+// one: the call must be served by another backend server, and the rest of its body must not be read as
+// another request.
+func TestEarlyRefusalIsRetriedElsewhere(t *testing.T) {
+	is := is.New(t)
+	count := newRunCounter()
+	sound := startBackend(t, func(c net.Conn, r *http.Request) { count.run(c, r) })
+	var r *fixture
+	var after bytes.Buffer // what came behind the refusal
+	ended := make(chan struct{})
+	r = newFixture(t, forwardRoute(setAtMostOnce), startListener(t, func(c net.Conn) {
+		defer close(ended)
+		defer c.Close()
+		br := bufio.NewReader(c)
+		req, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		r.setBackend(1, sound, wire.BackendState_BACKEND_STATE_READY)
+		r.f.selector.setView(r.log.Snapshot())
+		io.WriteString(c, refusalOf(req.Header.Get("Call")))
+		time.Sleep(20 * time.Millisecond)
+		_, _ = io.Copy(&after, br)
+	}))
+	req, _ := http.NewRequest(http.MethodPost, r.server.URL+"/p/x", strings.NewReader(strings.Repeat("x", 1<<20)))
+	req.Host = "one.example"
+	req.Header.Set("Call", "c1")
+	req.Header.Set("Key", "k")
+	resp, err := http.DefaultClient.Do(req)
+	is.NoErr(err)
+	resp.Body.Close()
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(count.of("c1"), 1)
+	<-ended
+	is.Equal(strings.Trim(after.String(), "x"), "") // only the body
+}
+
 // Guards against a memory of sent calls that forgets a call before late copies have come, or that grows
 // without bound.
 func TestSentCallsAreRemembered(t *testing.T) {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -30,6 +30,7 @@
 	length int64
 	body   io.Reader
 
+	dialect Dialect
 	// pool receives the connection for reuse.
 	pool     *connPool
 	conn     *conn
@@ -93,7 +94,7 @@
 		return nil, &failure{InvalidResponse, err}
 	}
 	return &response{status: resp.StatusCode, header: resp.Header, info: info, length: resp.ContentLength,
-		body: resp.Body, pool: f.connPool, conn: c, resp: resp, reqWrite: reqWrite, stop: stop, repeated: repeated}, nil
+		body: resp.Body, dialect: f.dialect, pool: f.connPool, conn: c, resp: resp, reqWrite: reqWrite, stop: stop, repeated: repeated}, nil
 }
 
 // belongsTo reports whether a response is taken for the one to the call with the given ID. A
@@ -149,6 +150,52 @@
 // discard ends the use of the response, whose body nobody gets.
 func (r *response) discard() { r.close(r.conn.discard(r.body, discardTimeout) == nil) }
 
+// errRefusalContradicted is returned when a refusal is followed by another response to the call.
+var errRefusalContradicted = errors.New("the refusal is followed by another response to the call")
+
+// refuse ends the use of a response that states that the call was not executed, and returns the
+// failure that it counts as. The connection is not kept if more has come with it.
+func (r *response) refuse(outcome Outcome) *failure {
+	complete := r.conn.discard(r.body, discardTimeout) == nil
+	if complete && r.conn.hasUnread() {
+		defer r.close(false)
+		if r.isContradicted() {
+			refusals.Add("contradicted", 1)
+			return &failure{InvalidResponse, errRefusalContradicted}
+		}
+	} else {
+		r.close(complete)
+	}
+	refusals.Add("counted", 1)
+	return &failure{outcome, fmt.Errorf("status %d", r.status)}
+}
+
+// isContradicted reports whether what has arrived behind a refusal may be a response to the same call
+// that states something else. Copies of the refusal, responses to other calls and bytes that are no
+// response belong to no call.
+func (r *response) isContradicted() bool {
+	for range maxStrayResponses + 1 {
+		if !r.conn.hasUnread() {
+			return false
+		}
+		if r.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+			return true
+		}
+		resp, err := r.conn.readHead(r.resp.Request)
+		if err != nil {
+			return isTimeout(err) // a part of a response
+		}
+		info := r.dialect.ReadResponse(resp.StatusCode, resp.Header)
+		if info.ID == r.info.ID && !info.NotExecuted && !info.Misdirected {
+			return true
+		}
+		if r.conn.discard(resp.Body, discardTimeout) != nil {
+			return false // it has no end behind which another response could come
+		}
+	}
+	return true // not all of it was read
+}
+
 // bufferBody reads at most maxBufferedBody bytes of the body. more is set if that
 // limit was reached.
 func (r *response) bufferBody() (body []byte, more bool, err error) {
