forward: test that sound servers which refuse often keep their connections

TestRefusingServersKeepTheirConnections counts the connections of three servers, two of which refuse every second call with its ID, under 400 calls of 4 callers; each call must be served once.

--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -271,6 +272,60 @@
 	is.Equal(strings.Trim(after.String(), "x"), "") // only the body
 }
 
+// Guards against the price of caution at sound backend servers: ones that refuse every second call must
+// keep their connections, and the calls that they refuse must be served by others.
+func TestRefusingServersKeepTheirConnections(t *testing.T) {
+	const calls, callers = 400, 4
+	for name, route := range map[string]func(*wire.ForwardRoute){"at most once": setAtMostOnce, "idempotent": nil} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			count := newRunCounter()
+			var accepted, arrived, refused atomic.Int32
+			serve := func(refuses bool) string {
+				return startListener(t, func(c net.Conn) {
+					defer c.Close()
+					accepted.Add(1)
+					br := bufio.NewReader(c)
+					for {
+						r, err := http.ReadRequest(br)
+						if err != nil {
+							return
+						}
+						_, _ = io.Copy(io.Discard, r.Body)
+						if refuses && arrived.Add(1)%2 == 0 {
+							refused.Add(1)
+							io.WriteString(c, refusalOf(r.Header.Get("Call")))
+							continue
+						}
+						count.run(c, r)
+					}
+				})
+			}
+			budget := func(o *Options) {
+				o.Budget = RetryBudgetLimits{Ratio: 10, ExtraRetries: 10 * calls, Window: time.Minute, Routers: 1}
+			}
+			r := newFixtureWith(t, budget, forwardRoute(route), serve(true), serve(true), serve(false))
+			var group sync.WaitGroup
+			for caller := range callers {
+				group.Go(func() {
+					for i := range calls / callers {
+						r.forgetFailures()
+						id := fmt.Sprint("c", caller, "-", i)
+						status, _, _, err := r.call("Call", id)
+						is.NoErr(err)
+						is.Equal(status, 200)
+						is.Equal(count.of(id), 1)
+					}
+				})
+			}
+			group.Wait()
+			t.Logf("%d calls, %d refused, %d connections", calls, refused.Load(), accepted.Load())
+			is.True(refused.Load() > calls/20)
+			is.True(accepted.Load() <= 3*callers+calls/20)
+		})
+	}
+}
+
 // Guards against a memory of sent calls that forgets a call before late copies have come, or that grows
 // without bound.
 func TestSentCallsAreRemembered(t *testing.T) {
