engine: a refusal counts only with the ID and the attempt of the request

What agents reported: "not run" for an attempt that its engine ran. A faulty engine wrote the refusal of attempt 1 of a request once more in front of its answer to attempt 2, on the same connection, or a refusal that names no request, in front of an answer or before it had read anything. Cause: only a refusal with another request ID was rejected; the attempt was not compared, and one without an ID counted always. Change: a refusal must repeat the ID and the attempt, as the dialect says of each response. Otherwise the outcome is unknown (StreamBroken). The stand-in repeats both in refusals too; it left them out. Changed tests: the two refusals of TestEngineResponses had no ID and wanted NotRun; they have the ID and the attempt now, and a new case wants an unknown outcome without them.

--- a/internal/engine/dialect/dialect.go
+++ b/internal/engine/dialect/dialect.go
@@ -19,7 +19,8 @@
 	// LastEventID is the standard header for resuming a stream of server-sent
 	// events. It holds the number of output tokens already received.
 	LastEventID = "Last-Event-Id"
-	// Refusal marks a response which proves that the request did not run.
+	// Refusal marks a response which proves that the request did not run. It counts only with the
+	// RequestID and Attempt of the request: otherwise it may belong to another one.
 	Refusal = "X-Refusal"
 	// Leaving is set to 1 on every response of a backend server that leaves.
 	Leaving = "Server-Leaving"
--- a/internal/engine/http_test.go
+++ b/internal/engine/http_test.go
@@ -113,10 +113,16 @@
 		{"response without request ID", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "whose?") }, false, "", 0, fault.StreamBroken, fault.Unknown},
 		{"client error without request ID", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "no messages", 400) }, false, "no messages\n", 0, 0, 0},
 		{"refusal", func(w http.ResponseWriter, _ *http.Request) {
+			setEchoHeaders(w)
 			w.Header().Set(dialect.Refusal, dialect.RefusalOverloaded)
 			w.WriteHeader(503)
 		}, false, "", 0, fault.BackendRefused, fault.NotRun},
+		{"refusal without request ID", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(dialect.Refusal, dialect.RefusalOverloaded)
+			w.WriteHeader(503)
+		}, false, "", 0, fault.StreamBroken, fault.Unknown},
 		{"refusal of weights", func(w http.ResponseWriter, _ *http.Request) {
+			setEchoHeaders(w)
 			w.Header().Set(dialect.Refusal, dialect.RefusalWeights)
 			w.WriteHeader(409)
 		}, false, "", 0, fault.StaleWeights, fault.NotRun},
--- /dev/null
+++ b/internal/engine/refusals_test.go
@@ -0,0 +1,109 @@
+package engine
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"parsleypulley/internal/engine/dialect"
+	"parsleypulley/internal/fault"
+)
+
+// serveConnections serves each connection with serve and returns the URL.
+func serveConnections(t *testing.T, serve func(c net.Conn, br *bufio.Reader)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return "http://" + ln.Addr().String()
+}
+
+// readRequest reads a request with its body; nil at the end of the connection.
+func readRequest(br *bufio.Reader) *http.Request {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return nil
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	return r
+}
+
+// echo returns the headers that name a request; without those that are empty.
+func echo(id, attempt string) string {
+	text := ""
+	if id != "" {
+		text += dialect.RequestID + ": " + id + "\r\n"
+	}
+	if attempt != "" {
+		text += dialect.Attempt + ": " + attempt + "\r\n"
+	}
+	return text
+}
+
+func refusalText(id, attempt, refusal string) string {
+	return fmt.Sprintf("HTTP/1.1 503 X\r\n%s%s: %s\r\nContent-Length: 0\r\n\r\n", echo(id, attempt), dialect.Refusal, refusal)
+}
+
+func answerText(id, attempt, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n%s", echo(id, attempt), len(body), body)
+}
+
+// Guards against a refusal of another attempt, or one that names no request, and is taken for the promise
+// that the attempt has not run. The engine runs the attempt each time.
+func TestUncertainRefusalsPromiseNothing(t *testing.T) {
+	for name, test := range map[string]struct {
+		// first is the response to attempt 1, and late what comes before that to attempt 2, on the
+		// same connection.
+		first, late string
+		// greeting comes on each connection before anything is read.
+		greeting string
+	}{
+		"refusal of an earlier attempt":            {refusalText("r1", "1", dialect.RefusalOverloaded), refusalText("r1", "1", dialect.RefusalOverloaded), ""},
+		"refusal that names no attempt":            {refusalText("r1", "", dialect.RefusalOverloaded), refusalText("r1", "", dialect.RefusalOverloaded), ""},
+		"refusal without an ID behind an answer":   {answerText("r1", "1", "first"), refusalText("", "", dialect.RefusalIncarnation), ""},
+		"refusal without an ID behind a refusal":   {refusalText("r1", "1", dialect.RefusalWeights), refusalText("", "", dialect.RefusalWeights), ""},
+		"refusal without an ID before the request": {answerText("r1", "1", "first"), "", refusalText("", "", dialect.RefusalOverloaded)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			url := serveConnections(t, func(c net.Conn, br *bufio.Reader) {
+				io.WriteString(c, test.greeting)
+				for r := readRequest(br); r != nil; r = readRequest(br) {
+					if r.Header.Get(dialect.Attempt) == "1" {
+						io.WriteString(c, test.first)
+						continue
+					}
+					io.WriteString(c, test.late+answerText("r1", "2", "second"))
+				}
+			})
+			h := newClient(t, url, false, Limits{})
+			first := testRequest(false)
+			first.Attempt = 1
+			_, _, _ = readAll(h, first)
+			text, _, err := readAll(h, testRequest(false))
+			if err != nil {
+				is.Equal(fault.From(err).Outcome, fault.Unknown)
+				return
+			}
+			is.Equal(text, "second")
+		})
+	}
+}
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -50,8 +50,9 @@
 		return fault.New(fault.StreamBroken, fault.Unknown, "backend server answered with status %d", r.resp.StatusCode)
 	}
 	if refusal := header.Get(dialect.Refusal); refusal != "" && !h.plainService {
-		if id := header.Get(dialect.RequestID); id != "" && id != req.ID {
-			return r.checkRequestID(h, req) // a late second copy, on a connection in use again
+		// Without the ID and the attempt it may be a late copy, or written before the request was read.
+		if id, attempt := header.Get(dialect.RequestID), header.Get(dialect.Attempt); id != req.ID || attempt != strconv.FormatUint(uint64(req.Attempt), 10) {
+			return fault.New(fault.StreamBroken, fault.Unknown, "backend server refused request ID %q, attempt %q with status %d: %s", id, attempt, r.resp.StatusCode, refusal)
 		}
 		return r.refusal(refusal)
 	}
--- a/internal/standin/completions.go
+++ b/internal/standin/completions.go
@@ -137,6 +137,8 @@
 	e := completion.instance.engine
 	attempt, _ := strconv.ParseUint(r.Header.Get(dialect.Attempt), 10, 32)
 	completion.key = runKey{r.Header.Get(dialect.RequestID), uint32(attempt)}
+	w.Header().Set(dialect.RequestID, completion.key.id)
+	w.Header().Set(dialect.Attempt, strconv.FormatUint(attempt, 10))
 	completion.priority, _ = strconv.Atoi(r.Header.Get(dialect.Priority))
 	completion.offset, _ = strconv.Atoi(r.Header.Get(dialect.LastEventID))
 	completion.salt = r.Header.Get(dialect.CacheSalt)
@@ -170,8 +172,6 @@
 		return err
 	}
 	h := w.Header()
-	h.Set(dialect.RequestID, completion.key.id)
-	h.Set(dialect.Attempt, strconv.FormatUint(uint64(completion.key.attempt), 10))
 	h.Set(dialect.Incarnation, strconv.FormatUint(e.incarnation, 10))
 	h.Set(dialect.WeightsVersion, completion.version)
 	h.Set(dialect.PromptTokens, strconv.Itoa(completion.promptTokens()))
