engine: control requests have connections of their own

What callers could get: the response to a control request in place of their own. A faulty engine wrote its 404 to a cancellation once more, on a connection that the next call used; error responses of engines need no ID, so it was delivered. In the same way a copy of an earlier response counted as that to an order. Cause: calls and control requests shared connections, and responses to control requests name no request. Change: calls and control requests use different connections, and each order has one of its own (orders load weights or change roles, so they are rare). Cost (not measured): a few idle connections more per agent and a new one for each order.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -29,8 +29,12 @@
 	if len(body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
+	client := h.controlClient
+	if path == dialect.PathOrders {
+		client = h.singleUseClient
+	}
 	sentAt := time.Now()
-	resp, err := h.client.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		return nil, controlError(err, sent.Load())
 	}
@@ -116,7 +120,7 @@
 		incarnation = health.Incarnation
 	}
 	if h.incarnation.Swap(incarnation) != incarnation {
-		h.client.CloseIdleConnections()
+		h.Close()
 	}
 	return health, err
 }
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -34,9 +34,12 @@
 	limits       Limits
 	// client reuses connections.
 	client *http.Client
+	// controlClient does so for control requests. Their responses name no request, so a late copy
+	// of one could be taken for the response to a call.
+	controlClient *http.Client
 	// singleUseClient opens a new connection for each request. It is used for
 	// requests that must not be sent twice, because net/http may resend a request if
-	// a reused connection turns out to be closed.
+	// a reused connection turns out to be closed, and for orders, whose responses name no order.
 	singleUseClient *http.Client
 	// singleUseUntil is the time, in Unix nanoseconds, until which no connection is reused:
 	// the backend server has sent a response without a request ID. A late second copy of such a
@@ -83,6 +86,7 @@
 		plainService:    o.PlainService,
 		limits:          o.Limits,
 		client:          &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
+		controlClient:   &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
 		singleUseClient: &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
 	}, nil
 }
@@ -106,7 +110,10 @@
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // Close closes the connections that are not in use.
-func (h *HTTP) Close() { h.client.CloseIdleConnections() }
+func (h *HTTP) Close() {
+	h.client.CloseIdleConnections()
+	h.controlClient.CloseIdleConnections()
+}
 
 // PlainService implements Engine.
 func (h *HTTP) PlainService() bool { return h.plainService }
--- a/internal/engine/refusals_test.go
+++ b/internal/engine/refusals_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
@@ -107,3 +109,33 @@
 		})
 	}
 }
+
+// Guards against a second copy of the response to a control request, or to an order, that is taken for the
+// response to a call or to the next order.
+func TestCopiesOfControlResponses(t *testing.T) {
+	is := is.New(t)
+	var orders atomic.Int32
+	url := serveConnections(t, func(c net.Conn, br *bufio.Reader) {
+		var copied string // of the response before on this connection
+		for r := readRequest(br); r != nil; r = readRequest(br) {
+			own := answerText("r1", "2", "call's")
+			switch {
+			case r.URL.Path == dialect.PathCancel:
+				own = "HTTP/1.1 404 X\r\nContent-Length: 9\r\n\r\ncontrol's"
+			case r.URL.Path == dialect.PathOrders && orders.Add(1) == 1:
+				own = refusalText("", "", dialect.RefusalFencing)
+			case r.URL.Path == dialect.PathOrders:
+				own = answerText("", "", "{}")
+			}
+			io.WriteString(c, copied+own)
+			copied = own
+		}
+	})
+	h := newClient(t, url, false, Limits{})
+	is.NoErr(h.Cancel(context.Background(), "r0", 1))
+	text, _, err := readAll(h, testRequest(false))
+	is.NoErr(err)
+	is.Equal(text, "call's")
+	is.True(fault.Is(h.Order(context.Background(), dialect.Order{Fencing: 1}), fault.StaleFencing))
+	is.NoErr(h.Order(context.Background(), dialect.Order{Fencing: 2}))
+}
