forward: test that the copy of another server's refusal at the address does not count

Two servers are known at one address, as after a restart under another name: the call goes to both, and the second one writes the first 421 once more and runs the call.

--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -214,6 +214,27 @@
 	}
 }
 
+// Guards against the copy of a refusal that is taken for the refusal of the router's own next attempt of the
+// call: two backend servers are known at one address, as after a restart under another name.
+func TestRefusalOfAnotherServerAtTheAddress(t *testing.T) {
+	is := is.New(t)
+	count := newRunCounter()
+	var arrived atomic.Int32
+	address := acceptingBackend(t, "", func(c net.Conn, r *http.Request) {
+		if arrived.Add(1) == 1 {
+			io.WriteString(c, misdirectionOf(r.Header.Get("Call")))
+			return
+		}
+		count.run(joined{c, misdirectionOf(r.Header.Get("Call")), false}, r)
+	})
+	r := newFixture(t, forwardRoute(setAtMostOnce), address, address)
+	status, _, _, err := r.call()
+	is.NoErr(err)
+	is.Equal(arrived.Load(), int32(2))
+	is.Equal(count.of("c1"), 1)
+	is.Equal(status, 502)
+}
+
 // joined writes a text and what is written to it in one piece, or all but the last 20 bytes if split is
 // set, and these later.
 type joined struct {
