--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -167,6 +167,9 @@
 		c.quota.Spend()
 		return c.forwardResponse(d, resp, outcome)
 	}
+	if !outcome.mayHaveRun() {
+		return resp.refuse(outcome), Step{}
+	}
 	resp.discard()
 	return &failure{outcome, fmt.Errorf("status %d", resp.status)}, Step{}
 }
@@ -175,6 +178,11 @@
 // response show, or 0 if they show no failure.
 func classifyResponse(r *response) Outcome {
 	switch {
+	case r.info.ID == "":
+		return InvalidResponse // it may belong to another call
+	case r.repeated && (r.info.Misdirected || r.info.NotExecuted):
+		refusals.Add("repeated_id", 1)
+		return InvalidResponse // it may be a copy of an earlier refusal
 	case r.info.Misdirected:
 		return Misdirected
 	case r.info.NotExecuted:
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"expvar"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,10 @@
 	"time"
 )
 
+// refusals counts the responses that state that a call was not executed: those that count as
+// refusals, and those that may belong to another call or to none, by the reason.
+var refusals = expvar.NewMap("forward_refusals")
+
 // maxBufferedBody limits the part of a response body that is buffered before any
 // of it is forwarded. The rest of a longer body is forwarded as it arrives.
 const maxBufferedBody = 256 << 10
@@ -25,6 +30,7 @@
 	length int64
 	body   io.Reader
 
+	dialect Dialect
 	// pool receives the connection for reuse.
 	pool     *connPool
 	conn     *conn
@@ -33,6 +39,9 @@
 	// stop keeps the end of the call's context from closing the connection. It
 	// returns false if the context has already ended.
 	stop func() bool
+	// repeated is set if a call with the same ID was sent to the address before. The response may be
+	// a copy of the one to it.
+	repeated bool
 }
 
 // failure describes an attempt that ended without a usable response.
@@ -58,6 +67,7 @@
 		c.Close()
 		return nil, &failure{Unsent, err}
 	}
+	repeated := f.connPool.sent.add(time.Now(), address, callID)
 	watched.conn.Store(c)
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.setDeadline(deadline) // fails only on a closed connection, on which the write fails too
@@ -67,7 +77,7 @@
 	resp, reqWrite, sent, err := c.roundTrip(ctx, req, len(body), func(resp *http.Response) bool {
 		info = f.dialect.ReadResponse(resp.StatusCode, resp.Header)
 		observe(info)
-		return info.ID == callID || info.ID == "" && !info.FromBackend
+		return belongsTo(info, callID, atMostOnce)
 	})
 	if err != nil {
 		stop()
@@ -84,7 +94,24 @@
 		return nil, &failure{InvalidResponse, err}
 	}
 	return &response{status: resp.StatusCode, header: resp.Header, info: info, length: resp.ContentLength,
-		body: resp.Body, pool: f.connPool, conn: c, resp: resp, reqWrite: reqWrite, stop: stop}, nil
+		body: resp.Body, dialect: f.dialect, pool: f.connPool, conn: c, resp: resp, reqWrite: reqWrite, stop: stop, repeated: repeated}, nil
+}
+
+// belongsTo reports whether a response is taken for the one to the call with the given ID. A
+// refusal without an ID may be a copy of an earlier one, or written before the call was read,
+// and then the call runs. A call that must not run twice waits for its own response behind it.
+// Any other call is tried elsewhere at once; see classifyResponse.
+func belongsTo(info ResponseInfo, callID string, atMostOnce bool) bool {
+	switch {
+	case info.ID == callID:
+		return true
+	case info.ID != "" || info.FromBackend:
+		return false
+	case info.NotExecuted || info.Misdirected:
+		refusals.Add("without_id", 1)
+		return !atMostOnce
+	}
+	return true
 }
 
 // withCause wraps the error of a connection with the reason why ctx ended, if it
@@ -117,13 +144,58 @@
 		r.conn.Close()
 		return
 	}
-	r.conn.answers(r.info.ID)
 	r.pool.put(r.conn, keep)
 }
 
 // discard ends the use of the response, whose body nobody gets.
 func (r *response) discard() { r.close(r.conn.discard(r.body, discardTimeout) == nil) }
 
+// errRefusalContradicted is returned when a refusal is followed by another response to the call.
+var errRefusalContradicted = errors.New("the refusal is followed by another response to the call")
+
+// refuse ends the use of a response that states that the call was not executed, and returns the
+// failure that it counts as. The connection is not kept if more has come with it.
+func (r *response) refuse(outcome Outcome) *failure {
+	complete := r.conn.discard(r.body, discardTimeout) == nil
+	if complete && r.conn.hasUnread() {
+		defer r.close(false)
+		if r.isContradicted() {
+			refusals.Add("contradicted", 1)
+			return &failure{InvalidResponse, errRefusalContradicted}
+		}
+	} else {
+		r.close(complete)
+	}
+	refusals.Add("counted", 1)
+	return &failure{outcome, fmt.Errorf("status %d", r.status)}
+}
+
+// isContradicted reports whether what has arrived behind a refusal may be a response to the same call
+// that states something else. Copies of the refusal, responses to other calls and bytes that are no
+// response belong to no call.
+func (r *response) isContradicted() bool {
+	for range maxStrayResponses + 1 {
+		if !r.conn.hasUnread() {
+			return false
+		}
+		if r.conn.SetReadDeadline(time.Now().Add(discardTimeout)) != nil {
+			return true
+		}
+		resp, err := r.conn.readHead(r.resp.Request)
+		if err != nil {
+			return isTimeout(err) // a part of a response
+		}
+		info := r.dialect.ReadResponse(resp.StatusCode, resp.Header)
+		if info.ID == r.info.ID && !info.NotExecuted && !info.Misdirected {
+			return true
+		}
+		if r.conn.discard(resp.Body, discardTimeout) != nil {
+			return false // it has no end behind which another response could come
+		}
+	}
+	return true // not all of it was read
+}
+
 // bufferBody reads at most maxBufferedBody bytes of the body. more is set if that
 // limit was reached.
 func (r *response) bufferBody() (body []byte, more bool, err error) {
