forward, daemon: planned stops tell what they accepted, refused and cut

Callers whose calls were cut at the end of a planned stop were logged as "cancelled: the caller has left", like those that had left. What the router knew when it accepted a call was not logged, and "requests were cut at the planned stop" was logged for the readiness listener at each stop, since its stop begins when the time is over.

HTTPServer marks the moment right before it closes the connections of running requests, and requests ask for the mark through their context: a call that fails after it was cut, one that failed before it was left by its caller. Calls that come in a stop carry the time since its beginning, the time left, the predicted duration and the number of responses behind it. No decision changes.

--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -27,6 +28,8 @@
 	server   *http.Server
 	listener net.Listener
 	stopping atomic.Bool
+	// cut is set right before the connections of running requests are closed.
+	cut atomic.Bool
 
 	mu sync.Mutex
 	// conns holds the connections that are open.
@@ -42,6 +45,7 @@
 func NewHTTPServer(server *http.Server, ln net.Listener) *HTTPServer {
 	s := &HTTPServer{server: server, listener: ln, conns: map[net.Conn]connStatus{}}
 	server.ConnState = s.track
+	server.BaseContext = func(net.Listener) context.Context { return context.WithValue(context.Background(), serverKey{}, s) }
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.stopping.Load() {
@@ -52,6 +56,26 @@
 	return s
 }
 
+// serverKey is the key of the HTTPServer in the contexts of its requests.
+type serverKey struct{}
+
+// CutByStop reports whether the server of the request with context ctx has closed the connections
+// of the requests that still ran at the end of its stop. A request whose context ended before that
+// was ended by its caller.
+func CutByStop(ctx context.Context) bool {
+	s, ok := ctx.Value(serverKey{}).(*HTTPServer)
+	return ok && s.cut.Load()
+}
+
+// CutError is the error of a stop that has closed the connections of running requests.
+type CutError struct {
+	// Requests is the number of the requests.
+	Requests int
+}
+
+// Error implements error.
+func (e *CutError) Error() string { return fmt.Sprintf("%d requests were running", e.Requests) }
+
 func (s *HTTPServer) track(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -72,7 +96,7 @@
 }
 
 // Stop accepts no more connections, waits until the requests on the open ones are answered, and
-// closes them. It returns an error if ctx ends before that.
+// closes them. It returns a *CutError if requests were running when ctx ended.
 func (s *HTTPServer) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
 	_ = s.listener.Close() // fails only if it is closed already
@@ -83,7 +107,11 @@
 	for time.Since(lastBusy) < stopSettleTime {
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			s.cut.Store(true)
+			if n := s.running(); n > 0 {
+				return &CutError{n}
+			}
+			return nil
 		case now := <-ticker.C:
 			if s.busy(now) {
 				lastBusy = now
@@ -93,6 +121,18 @@
 	return nil
 }
 
+// running returns the number of requests that are running.
+func (s *HTTPServer) running() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		if c.state == http.StateActive {
+			n++
+		}
+	}
+	return n
+}
+
 // busy reports whether a request is running, or may come on a connection that is new.
 func (s *HTTPServer) busy(now time.Time) bool {
 	s.mu.Lock()
--- a/internal/daemon/httpserver_test.go
+++ b/internal/daemon/httpserver_test.go
@@ -96,3 +96,46 @@
 	is.True(s.Stop(ctx) != nil) // cuts the request that runs
 	is.True(time.Since(began) < 4*firstRequestTime)
 }
+
+// Guards against a stop that reports cut requests where none were running, or takes a request that its
+// caller left for one that the stop cut.
+func TestStopReportsTheRequestsThatItCuts(t *testing.T) {
+	for name, running := range map[string]int{"none": 0, "two": 2} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			runs, cut := make(chan struct{}), make(chan bool, 3)
+			s := NewHTTPServer(&http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				runs <- struct{}{}
+				<-r.Context().Done()
+				cut <- CutByStop(r.Context())
+			})}, ln)
+			go func() { _ = s.Serve() }()
+			request := func() net.Conn {
+				c, err := net.Dial("tcp", ln.Addr().String())
+				is.NoErr(err)
+				t.Cleanup(func() { c.Close() })
+				io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+				<-runs
+				return c
+			}
+			request().Close()
+			is.True(!<-cut) // the caller left
+			for range running {
+				request()
+			}
+			ended, cancel := context.WithCancel(context.Background())
+			cancel()
+			err = s.Stop(ended)
+			if running == 0 {
+				is.NoErr(err)
+				return
+			}
+			is.Equal(err, &CutError{running})
+			for range running {
+				is.True(<-cut)
+			}
+		})
+	}
+}
--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -33,6 +33,9 @@
 	// before a load balancer can have seen that the process is not ready. endsAt is the
 	// deadline of the stop.
 	OnStop func(endsAt time.Time)
+	// StopCounts, if set, returns the numbers of calls that are logged at the end of the
+	// planned stop.
+	StopCounts func() event.StopCounts
 
 	// linkAddress is the listen address for links.
 	linkAddress string
@@ -158,10 +161,10 @@
 	return err
 }
 
-// readinessGrace is the time between the moment that /readyz starts to fail and the
+// ReadinessGrace is the time between the moment that /readyz starts to fail and the
 // moment that the process stops accepting work. A load balancer can take the process
 // out of rotation in between.
-const readinessGrace = 500 * time.Millisecond
+const ReadinessGrace = 500 * time.Millisecond
 
 // Wait waits for SIGTERM or SIGINT, or until a component fails, and then stops the
 // process. On a signal it first makes /readyz fail and calls drain, which must let
@@ -216,10 +219,15 @@
 		}
 	}()
 	// Gives the load balancer time to see that the process is not ready.
-	backoff.Sleep(ctx, readinessGrace)
+	backoff.Sleep(ctx, ReadinessGrace)
 	drain(ctx)
 	p.server.Shutdown(ctx)
-	event.PlannedStopEnded(p.Role, ctx.Err() == nil)
+	var counts *event.StopCounts
+	if p.StopCounts != nil {
+		c := p.StopCounts()
+		counts = &c
+	}
+	event.PlannedStopEnded(p.Role, ctx.Err() == nil, counts)
 }
 
 func (p *Process) stop() {
--- a/internal/event/call.go
+++ b/internal/event/call.go
@@ -44,6 +44,24 @@
 	LongestPause time.Duration
 	// Prompt is nil for calls without a prompt.
 	Prompt *PromptRouting
+	// Stop is nil unless the call came during a planned stop.
+	Stop *StopAdmission
+	// CutBy is "stop" for a call that the end of a planned stop cut, and Begun is set if its
+	// response had begun.
+	CutBy string
+	Begun bool
+}
+
+// StopAdmission is what a router knew of a call that came during its planned stop when it
+// accepted or refused it.
+type StopAdmission struct {
+	// After is the time since the beginning of the stop, and Left the time until its end.
+	After, Left time.Duration
+	// Predicted is the duration that was predicted for the response. It is the time limit of
+	// the call if Responses is 0.
+	Predicted time.Duration
+	// Responses is the number of responses from which the duration was predicted.
+	Responses int
 }
 
 // PromptRouting describes the routing decision for a call with a prompt.
@@ -95,6 +113,13 @@
 	if len(c.Outcomes) > 0 {
 		fields["outcomes"] = strings.Join(c.Outcomes, ",")
 	}
+	if s := c.Stop; s != nil {
+		fields["stop_after_ms"], fields["stop_left_ms"] = milliseconds(s.After), milliseconds(s.Left)
+		fields["predicted_ms"], fields["predicted_from"] = milliseconds(s.Predicted), s.Responses
+	}
+	if c.CutBy != "" {
+		fields["cut_by"], fields["begun"] = c.CutBy, c.Begun
+	}
 	return fields
 }
 
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -37,10 +37,37 @@
 	log.WithField("role", role).Info("planned stop begins")
 }
 
+// StopCounts counts the calls of a router's planned stop. Running and Accepted together are
+// those that the router had to finish: they are Complete, Cut, Left or, if their bodies were
+// still being read when the stop began, may be Refused.
+type StopCounts struct {
+	// Running is the number of calls that were running when the stop began.
+	Running int
+	// Accepted and Refused are the numbers of calls accepted and refused during the stop.
+	Accepted, Refused int
+	// Complete is the number of calls that ended with a complete response, also an error.
+	Complete int
+	// Cut is the number of calls that the end of the stop cut.
+	Cut int
+	// Left is the number of calls whose callers left, or whose responses broke off.
+	Left int
+}
+
 // PlannedStopEnded logs the end of a planned stop. complete is set if all work in
-// progress could finish.
-func PlannedStopEnded(role string, complete bool) {
-	log.WithFields(log.Fields{"role": role, "complete": complete}).Info("planned stop ends")
+// progress could finish. counts is nil for roles that don't count calls.
+func PlannedStopEnded(role string, complete bool, counts *StopCounts) {
+	fields := log.Fields{"role": role, "complete": complete}
+	if counts != nil {
+		fields["running"], fields["accepted"], fields["refused"] = counts.Running, counts.Accepted, counts.Refused
+		fields["answered"], fields["cut"], fields["left"] = counts.Complete, counts.Cut, counts.Left
+	}
+	log.WithFields(fields).Info("planned stop ends")
+}
+
+// PlannedStopCutRunning logs how many requests of a listener were running when a planned stop
+// closed their connections.
+func PlannedStopCutRunning(listener string, requests int) {
+	log.WithFields(log.Fields{"listener": listener, "requests": requests}).Warn("requests were cut at the planned stop")
 }
 
 // PlannedStopCutRequests logs that a planned stop aborted requests of a listener.
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -47,6 +47,7 @@
 	case errors.As(err, &tooLarge):
 		return fault.New(fault.BodyTooLarge, fault.NotRun, "the body has more than %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.f.shutdown.stopping():
+		c.f.shutdown.bodyRefused()
 		return fault.New(fault.Shutdown, fault.NotRun, "this router stops, the body did not come whole").WithRetryAfter(shutdownRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fault.New(fault.DeadlineExceeded, fault.NotRun, "the body did not come whole in time")
@@ -55,7 +56,7 @@
 	}
 	c.body = body
 	now := time.Now()
-	return c.f.shutdown.admit(now, c.route, c.arrivedAt.Add(c.timeout()).Sub(now))
+	return c.f.shutdown.admit(now, c.stop, c.route, c.arrivedAt.Add(c.timeout()).Sub(now))
 }
 
 // findRoute finds the route and the client account. A newer route table may allow
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"parsleypulley/internal/crashreport"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/quarantine"
 	"parsleypulley/internal/quota"
 	"parsleypulley/internal/quota/guard"
@@ -192,9 +193,15 @@
 }
 
 // BeginShutdown makes the forwarder close callers' connections after their next
-// response, and refuse calls that might not be complete at endsAt, when the planned stop
-// cuts them.
-func (f *Forwarder) BeginShutdown(endsAt time.Time) { f.shutdown.begin(endsAt) }
+// response, and refuse calls that might not be complete at the end of the planned stop,
+// which cuts them.
+func (f *Forwarder) BeginShutdown(times StopTimes) {
+	f.shutdown.begin(times)
+	time.AfterFunc(time.Until(times.Ends.Add(-bodyStopMargin)), f.shutdown.endBodies)
+}
+
+// StopCounts returns the numbers of calls of the planned stop, at its end.
+func (f *Forwarder) StopCounts() event.StopCounts { return f.shutdown.stopCounts() }
 
 // Ready returns nil if calls can be served, and otherwise an error with the
 // reason.
@@ -237,6 +244,8 @@
 	// one is the whole prompt. It is empty if the route has no prompts.
 	promptLevels []*wire.PrefixLevel
 	RetryState
+	// stop is what the shutdown guard knows of the call.
+	stop *stopCall
 
 	// fingerprint identifies the same calls of the account; nil until it is needed.
 	fingerprint []byte
@@ -291,11 +300,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer func() { c.quota.End() }()
+	c.stop = f.shutdown.arrive(c.arrivedAt)
+	end := endLeft // also if the call panics
+	defer func() { f.shutdown.finish(time.Now(), c.stop, end) }()
 	err := c.admit()
 	if err == nil {
 		err = c.serve()
 	}
-	c.finish(err)
+	end = c.endOf(err)
+	c.finish(err, end)
 }
 
 // serve makes attempts until the call has a final result.
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -463,7 +463,7 @@
 	status, _, _, err := r.call()
 	is.NoErr(err)
 	is.Equal(status, 200)
-	r.f.BeginShutdown(time.Now().Add(time.Minute))
+	r.f.BeginShutdown(StopTimes{Began: time.Now(), Ends: time.Now().Add(time.Minute)})
 	status, _, _, _ = r.call()
 	is.Equal(status, 503)
 }
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -55,21 +55,42 @@
 	return http.NewResponseController(c.w).Flush()
 }
 
-// finish counts and logs the call. If the call failed, finish also writes the
+// errCutByStop is returned for a call whose connection was closed at the end of the planned stop.
+var errCutByStop = errors.New("the end of the planned stop cut the call")
+
+// endOf returns how a call with the final result err ends.
+func (c *forwardedCall) endOf(err error) callEnd {
+	switch {
+	case err == nil:
+		return endServed
+	case c.cutByStop():
+		return endCut
+	case errors.Is(err, errAborted) || fault.Is(err, fault.Cancelled):
+		return endLeft
+	case c.AttemptCount() > 0:
+		return endFailed
+	}
+	return endRefused
+}
+
+// finish counts and logs the call, which ends as end. If the call failed, finish also writes the
 // error response, or aborts the connection if the caller has disconnected or has
 // already received part of a response.
-func (c *forwardedCall) finish(err error) {
+func (c *forwardedCall) finish(err error, end callEnd) {
 	logEntry := c.logEntry()
 	if err == nil {
 		if !c.f.crashes.reporter.Empty() {
 			c.f.crashes.reporter.Completed(c.quarantineKey(), logEntry.Request)
 		}
 		countCall(c.route, served)
-		c.f.shutdown.record(c.route.GetName(), time.Since(c.arrivedAt))
 		recordLatency(c.route, time.Now(), c.arrivedAt, c.firstEventDelay)
 		event.ForwardedCallServed(logEntry)
 		return
 	}
+	if end == endCut {
+		err = fault.New(fault.Cancelled, fault.From(err).Outcome, "%w", errCutByStop)
+		logEntry.CutBy, logEntry.Begun = "stop", c.headerWritten
+	}
 	e := fault.From(err)
 	countCall(c.route, e.Kind.String())
 	event.ForwardedCallFailed(logEntry, err)
@@ -89,6 +110,9 @@
 	if c.call != nil {
 		call.Request = c.call.ID
 	}
+	if c.stop != nil {
+		call.Stop = c.stop.admission
+	}
 	if d := c.decision; d != nil && len(c.promptLevels) > 0 {
 		call.Prompt = &event.PromptRouting{SharedPrefixKey: c.promptLevels[max(0, len(c.promptLevels)-2)].GetKey(), Tokens: d.PromptTokens, SharedPrefixTokens: sharedPrefixTokens(c.promptLevels), ExpectedCachedTokens: d.CachedTokens,
 			Wait: d.Wait, Prefill: d.Prefill, Weights: d.WeightsVersion, CacheImportAddress: c.cacheImportAddress, CacheSaveAddress: c.cacheSaveAddress}
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -1,11 +1,21 @@
 package forward
 
 import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/matryer/is"
 
+	"parsleypulley/internal/daemon"
+	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/wire"
 )
@@ -15,7 +25,7 @@
 // otherwise refused as not run, with the advice to go to another router at once.
 func TestStoppingRouterTakesOnlyWhatItCanFinish(t *testing.T) {
 	begin := time.Unix(1000, 0)
-	const stop = 7600 * time.Millisecond
+	const stop, listenerTime = 7600 * time.Millisecond, 2700 * time.Millisecond
 	stream := &wire.ForwardRoute{Name: "stream", Stream: true, Resumable: true}
 	short := &wire.ForwardRoute{Name: "short"}
 	unknown := &wire.ForwardRoute{Name: "unknown"}
@@ -50,9 +60,9 @@
 			for range durationSamples - 1 {
 				g.record("fresh", 50*time.Millisecond)
 			}
-			is.NoErr(g.admit(begin, test.route, test.timeLeft)) // no stop yet
-			g.begin(begin.Add(stop))
-			err := g.admit(begin.Add(test.after), test.route, test.timeLeft)
+			is.NoErr(g.admit(begin, g.arrive(begin), test.route, test.timeLeft)) // no stop yet
+			g.begin(StopTimes{Began: begin, ListenerCloses: begin.Add(listenerTime), Ends: begin.Add(stop)})
+			err := g.admit(begin.Add(test.after), g.arrive(begin.Add(test.after)), test.route, test.timeLeft)
 			is.Equal(err == nil, test.taken)
 			if err != nil {
 				is.Equal(fault.From(err).Outcome, fault.NotRun)
@@ -61,3 +71,71 @@
 		})
 	}
 }
+
+// Guards against a call that the end of the planned stop cuts being logged, and counted, like one
+// whose caller has left.
+func TestCallsCutByTheStopAreToldFromThoseLeft(t *testing.T) {
+	is := is.New(t)
+	entries := memory.New()
+	before := log.Log.(*log.Logger).Handler
+	log.SetHandler(entries)
+	defer log.SetHandler(before)
+	arrived := make(chan struct{}, 3)
+	hold := make(chan struct{})
+	defer close(hold)
+	backend := startBackend(t, func(c net.Conn, r *http.Request) {
+		if r.Header.Get("Begin") != "" {
+			writeEvents(c, r, 1, 1, false)
+		}
+		arrived <- struct{}{}
+		<-hold
+	})
+	r := newFixture(t, forwardRoute(func(route *wire.ForwardRoute) {
+		setResumableStream(route)
+		route.TimeoutMs = 60_000
+	}), backend)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := daemon.NewHTTPServer(&http.Server{Handler: r.f}, ln)
+	go func() { _ = server.Serve() }()
+	send := func(id, begin string) net.Conn {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		is.NoErr(err)
+		t.Cleanup(func() { c.Close() })
+		fmt.Fprintf(c, "POST /p/x HTTP/1.1\r\nHost: one.example\r\nCall: %s\r\nKey: k\r\nBegin: %s\r\nContent-Length: 0\r\n\r\n", id, begin)
+		<-arrived
+		if begin != "" { // until the response has begun
+			_, err = c.Read(make([]byte, 1))
+			is.NoErr(err)
+		}
+		return c
+	}
+	ends := time.Now().Add(100 * time.Millisecond)
+	left := send("left", "")
+	send("waits", "")
+	send("begun", "yes")
+	r.f.BeginShutdown(StopTimes{Began: time.Now(), ListenerCloses: time.Now(), Ends: ends.Add(time.Hour)})
+	left.Close()
+	logged := func(id string) *log.Entry {
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			for _, e := range slices.Clone(entries.Entries) {
+				if e.Message == "call failed" && e.Fields["request"] == id {
+					return e
+				}
+			}
+		}
+		t.Fatal("not logged: ", id)
+		return nil
+	}
+	is.Equal(logged("left").Fields["cut_by"], nil)
+	ctx, cancel := context.WithDeadline(context.Background(), ends)
+	defer cancel()
+	is.Equal(server.Stop(ctx), error(&daemon.CutError{Requests: 2}))
+	is.Equal(r.f.StopCounts(), event.StopCounts{Running: 3, Cut: 2, Left: 1})
+	for id, begun := range map[string]bool{"waits": false, "begun": true} {
+		e := logged(id)
+		is.Equal(e.Fields["cut_by"], "stop")
+		is.Equal(e.Fields["begun"], begun)
+		is.True(!strings.Contains(fmt.Sprint(e.Fields["error"]), "left"))
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -128,8 +128,8 @@
 	stoppable := daemon.NewHTTPServer(server, ln)
 	p.Go(stoppable.Serve)
 	return func(ctx context.Context) {
-		if err := stoppable.Stop(ctx); err != nil {
-			event.PlannedStopCutRequests(name, err)
+		if cut := (*daemon.CutError)(nil); errors.As(stoppable.Stop(ctx), &cut) {
+			event.PlannedStopCutRunning(name, cut.Requests)
 		}
 	}, nil
 }
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -117,8 +117,10 @@
 	event.Listening(o.Listen, "callers")
 	p.OnStop = func(endsAt time.Time) {
 		stopping.Store(true)
-		forwarder.BeginShutdown(endsAt)
+		now := time.Now()
+		forwarder.BeginShutdown(forward.StopTimes{Began: now, ListenerCloses: now.Add(daemon.ReadinessGrace + readinessDropTime), Ends: endsAt})
 	}
+	p.StopCounts = forwarder.StopCounts
 	return p.Wait(func(ctx context.Context) {
 		backoff.Sleep(ctx, readinessDropTime)
 		watches.Close()
