--- a/internal/daemon/httpserver_test.go
+++ b/internal/daemon/httpserver_test.go
@@ -122,6 +122,9 @@
 			}
 			request().Close()
 			is.True(!<-cut) // the caller left
+			for s.running() > 0 {
+				time.Sleep(time.Millisecond)
+			}
 			for range running {
 				request()
 			}
@@ -139,3 +142,36 @@
 		})
 	}
 }
+
+// Guards against a stop that closes the connections of running requests since it got no processor time
+// between two checks: the time in which nothing was checked counted as time without requests.
+func TestStopThatStandsStillCutsNothing(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	runs, answer := make(chan struct{}), make(chan struct{})
+	s := NewHTTPServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		close(runs)
+		<-answer
+		fmt.Fprint(w, "done")
+	})}, ln)
+	go func() { _ = s.Serve() }()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-runs
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.Stop(context.Background()) }()
+	for range 3 { // the stop stands still while it looks for requests
+		time.Sleep(4 * stopPoll)
+		s.mu.Lock()
+		time.Sleep(2 * stopSettleTime)
+		s.mu.Unlock()
+	}
+	close(answer)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.NoErr(<-stopped)
+}
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -139,3 +139,53 @@
 		is.True(!strings.Contains(fmt.Sprint(e.Fields["error"]), "left"))
 	}
 }
+
+// Guards against a stopping router that accepts a call after its listener has closed, as the short
+// answers of the route were complete, and cuts it: answers get slower from second to second, and the long
+// ones fail or still run. The call may take as long as the time that it has left.
+func TestPastAnswersAreNoBoundForLaterOnes(t *testing.T) {
+	begin := time.Unix(1000, 0)
+	const stop, listenerTime, longest = 7600 * time.Millisecond, 2700 * time.Millisecond, 5 * time.Second
+	route := &wire.ForwardRoute{Name: "stream", Stream: true, Resumable: true}
+	for name, long := range map[string]func(g *shutdownGuard){
+		"long ones fail": func(g *shutdownGuard) {
+			for range 5 {
+				c := g.arrive(begin.Add(-longest - time.Second))
+				is.New(t).NoErr(g.admit(begin.Add(-longest-time.Second), c, route, time.Minute))
+				g.finish(begin.Add(-time.Second), c, endFailed)
+			}
+		},
+		"long ones still run": func(g *shutdownGuard) {
+			is.New(t).NoErr(g.admit(begin.Add(-longest), g.arrive(begin.Add(-longest)), route, time.Minute))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newShutdownGuard()
+			for range durationSamples {
+				g.record(route.Name, 200*time.Millisecond)
+			}
+			long(g)
+			g.begin(StopTimes{Began: begin, ListenerCloses: begin.Add(listenerTime), Ends: begin.Add(stop)})
+			accepted := 0
+			for at := time.Duration(0); at < stop; at += 50 * time.Millisecond {
+				g.record(route.Name, 200*time.Millisecond+at/4)
+				for _, left := range []time.Duration{500 * time.Millisecond, time.Second, 4 * time.Second, 15 * time.Second} {
+					takes := left // what the call may take
+					if at < listenerTime {
+						takes = min(left, longest) // what others are known to have taken
+					}
+					now := begin.Add(at)
+					if g.admit(now, g.arrive(now), route, left) != nil {
+						continue
+					}
+					accepted++
+					if at+takes > stop {
+						t.Errorf("%v after the beginning a call was accepted that may take %v", at, takes)
+					}
+				}
+			}
+			is.True(accepted > 0)
+		})
+	}
+}
