daemon: a stop that gets no processor time cuts no running requests

Callers lost their answers in the middle of a planned stop, with complete=true in the log, when the stopping process got no processor time for 50 ms: the time since the last check that saw a running request counted as time without requests, and then all connections were closed, running or not.

Now ten checks in a row must see no request, and connections are closed one by one: a connection from which bytes of a request were read is kept, and from one that was closed as idle nothing is read any more, so no request is handed on for a caller that gets no answer. A stop whose time is over waits for at most 100 ms for the handlers of cut requests, which log them.

--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -13,13 +13,16 @@
 
 const (
 	// firstRequestTime is how long a stop waits for the first request on a connection that was
-	// just accepted.
+	// just accepted, and for the rest of a request head.
 	firstRequestTime = time.Second
 	// stopSettleTime is how long no request may have been running before the idle connections
 	// are closed: requests that were sent on them meanwhile arrive in it.
 	stopSettleTime = 50 * time.Millisecond
 	// stopPoll is the time between two checks whether requests are running.
 	stopPoll = 5 * time.Millisecond
+	// cutLogTime limits how long a stop waits for the handlers of the requests that it has cut,
+	// so that they can log it before the process ends.
+	cutLogTime = 100 * time.Millisecond
 )
 
 // HTTPServer is an http.Server that can be stopped without dropping requests. The Shutdown of
@@ -33,7 +36,7 @@
 
 	mu sync.Mutex
 	// conns holds the connections that are open.
-	conns map[net.Conn]connStatus
+	conns map[*stopConn]connStatus
 }
 
 type connStatus struct {
@@ -41,9 +44,76 @@
 	since time.Time
 }
 
+// stopListener accepts connections as stopConns.
+type stopListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l stopListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &stopConn{Conn: c}, nil
+}
+
+// stopConn is a connection that can be closed if nothing has been read from it, without a race:
+// either the server gets the bytes of a request, or the connection is closed.
+type stopConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// readAt is when bytes were read last.
+	readAt time.Time
+	// ended is set once the connection is closed as idle.
+	ended bool
+}
+
+// Read implements net.Conn.
+func (c *stopConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n <= 0 {
+		return n, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return 0, net.ErrClosed
+	}
+	c.readAt = time.Now()
+	return n, err
+}
+
+// mayGetRequest reports whether a request may come on a connection that has none: it is new, or
+// part of a request head was read lately.
+func (c *stopConn) mayGetRequest(now time.Time, status connStatus) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expectsRequest(now, status)
+}
+
+// expectsRequest is mayGetRequest with c.mu held.
+func (c *stopConn) expectsRequest(now time.Time, status connStatus) bool {
+	if status.state == http.StateNew && now.Sub(status.since) < firstRequestTime {
+		return true
+	}
+	return c.readAt.After(status.since) && now.Sub(c.readAt) < firstRequestTime
+}
+
+// closeIdle closes the connection and returns true, unless a request may be coming on it.
+func (c *stopConn) closeIdle(now time.Time, status connStatus) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expectsRequest(now, status) || now.Sub(c.readAt) < stopSettleTime {
+		return false
+	}
+	c.ended = true
+	_ = c.Conn.Close() // nothing is left to be done with it
+	return true
+}
+
 // NewHTTPServer returns a server for the connections of ln. server must not be used otherwise.
 func NewHTTPServer(server *http.Server, ln net.Listener) *HTTPServer {
-	s := &HTTPServer{server: server, listener: ln, conns: map[net.Conn]connStatus{}}
+	s := &HTTPServer{server: server, listener: stopListener{ln}, conns: map[*stopConn]connStatus{}}
 	server.ConnState = s.track
 	server.BaseContext = func(net.Listener) context.Context { return context.WithValue(context.Background(), serverKey{}, s) }
 	handler := server.Handler
@@ -76,7 +146,11 @@
 // Error implements error.
 func (e *CutError) Error() string { return fmt.Sprintf("%d requests were running", e.Requests) }
 
-func (s *HTTPServer) track(c net.Conn, state http.ConnState) {
+func (s *HTTPServer) track(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*stopConn)
+	if !ok {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateClosed || state == http.StateHijacked {
@@ -103,22 +177,47 @@
 	defer s.server.Close()
 	ticker := time.NewTicker(stopPoll)
 	defer ticker.Stop()
-	lastBusy := time.Now()
-	for time.Since(lastBusy) < stopSettleTime {
+	// Checks are counted, and not the time between them: a process that gets no processor time
+	// for a while has not seen that nothing runs.
+	quiet := 0
+	for {
 		select {
 		case <-ctx.Done():
-			s.cut.Store(true)
-			if n := s.running(); n > 0 {
-				return &CutError{n}
-			}
+			return s.cutRunning()
+		case <-ticker.C:
+		}
+		if quiet++; s.busy(time.Now()) {
+			quiet = 0
+		}
+		if quiet >= int(stopSettleTime/stopPoll) && s.closeIdle(time.Now()) {
 			return nil
-		case now := <-ticker.C:
-			if s.busy(now) {
-				lastBusy = now
-			}
 		}
 	}
-	return nil
+}
+
+// cutRunning closes all connections.
+func (s *HTTPServer) cutRunning() error {
+	s.cut.Store(true)
+	n := s.running()
+	_ = s.server.Close() // fails only if the listener is closed already
+	for end := time.Now().Add(cutLogTime); s.running() > 0 && time.Now().Before(end); {
+		time.Sleep(stopPoll)
+	}
+	if n == 0 {
+		return nil
+	}
+	return &CutError{n}
+}
+
+// closeIdle closes the connections without a request. It returns true if none is left.
+func (s *HTTPServer) closeIdle(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	closed := true
+	for c, status := range s.conns {
+		closed = status.state != http.StateActive && c.closeIdle(now, status) && closed
+	}
+	return closed
 }
 
 // running returns the number of requests that are running.
@@ -133,12 +232,12 @@
 	return n
 }
 
-// busy reports whether a request is running, or may come on a connection that is new.
+// busy reports whether a request is running, or may be coming.
 func (s *HTTPServer) busy(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range s.conns {
-		if c.state == http.StateActive || c.state == http.StateNew && now.Sub(c.since) < firstRequestTime {
+	for c, status := range s.conns {
+		if status.state == http.StateActive || c.mayGetRequest(now, status) {
 			return true
 		}
 	}
--- a/internal/daemon/httpserver_test.go
+++ b/internal/daemon/httpserver_test.go
@@ -175,3 +175,49 @@
 	is.Equal(resp.StatusCode, http.StatusOK)
 	is.NoErr(<-stopped)
 }
+
+// Guards against a stop that closes a connection as idle while a request is read from it: a connection from
+// which part of a head was read is kept until the rest has come or is late, and what comes on one that was closed
+// is not read, so that no handler runs for a caller that gets no answer.
+func TestIdleConnectionsAreClosedOrRead(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	idle := func(ago time.Duration) connStatus { return connStatus{http.StateIdle, now.Add(-ago)} }
+	for name, test := range map[string]struct {
+		status connStatus
+		// read is how long ago bytes were read; 0 if none were.
+		read   time.Duration
+		closed bool
+	}{
+		"idle":                             {idle(time.Minute), 0, true},
+		"idle, the last request long ago":  {idle(time.Minute), time.Minute + time.Second, true},
+		"part of a head":                   {idle(time.Minute), 900 * time.Millisecond, false},
+		"part of a head, the rest is late": {idle(time.Minute), 1100 * time.Millisecond, true},
+		"read before the response ended":   {idle(10 * time.Millisecond), 11 * time.Millisecond, false},
+		"new":                              {connStatus{http.StateNew, now.Add(-time.Millisecond)}, 0, false},
+		"new for long":                     {connStatus{http.StateNew, now.Add(-2 * time.Second)}, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ours, theirs := net.Pipe()
+			defer theirs.Close()
+			c := &stopConn{Conn: ours}
+			if test.read > 0 {
+				c.readAt = now.Add(-test.read)
+			}
+			is.Equal(c.closeIdle(now, test.status), test.closed)
+			if !test.closed {
+				go func() { _, _ = theirs.Write([]byte("x")) }()
+			}
+			n, err := c.Read(make([]byte, 1))
+			is.Equal(n == 1 && err == nil, !test.closed)
+		})
+	}
+	ours, theirs := net.Pipe()
+	defer theirs.Close()
+	c := &stopConn{Conn: ours, ended: true} // closed while the read had its bytes already
+	go func() { _, _ = theirs.Write([]byte("x")) }()
+	n, err := c.Read(make([]byte, 1))
+	is.Equal(n, 0)
+	is.True(err != nil)
+}
