daemon: repeated signals don't cut calls in a planned stop

Callers lost running streams when a platform repeated SIGTERM: a second signal ended the planned stop at once. A SIGHUP ended a process that watches no settings file, also in the middle of its stop or right after its watch of the file had ended.

A further SIGTERM, and SIGHUP at any time, now change nothing; a SIGINT after the first signal ends the stop and the process at once, for an operator at a terminal. Signals in a stop are logged.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -168,17 +168,20 @@
 
 // Wait waits for SIGTERM or SIGINT, or until a component fails, and then stops the
 // process. On a signal it first makes /readyz fail and calls drain, which must let
-// work in progress finish. A second signal cancels the context of drain. Wait
+// work in progress finish. A further SIGTERM changes nothing: platforms repeat it. A
+// SIGINT during the stop cancels the context of drain. SIGHUP stops nothing. Wait
 // returns the error of the component that failed.
 func (p *Process) Wait(drain func(ctx context.Context)) error {
-	// Both signals are caught from the start. Otherwise the second one could kill the
-	// process just as the planned stop begins.
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	defer signal.Stop(signals)
+	// The signals are caught from the start and until the process exits. Otherwise a
+	// repeated one could kill it just as the planned stop begins or ends.
+	signals := make(chan os.Signal, signalQueue)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	return p.wait(signals, drain)
 }
 
+// signalQueue is the number of signals that may wait. Signals beyond it are lost.
+const signalQueue = 16
+
 func (p *Process) wait(signals <-chan os.Signal, drain func(ctx context.Context)) error {
 	failure := p.waitForSignalOrFailure(signals)
 	p.stopping.Store(true)
@@ -194,8 +197,10 @@
 func (p *Process) waitForSignalOrFailure(signals <-chan os.Signal) error {
 	for {
 		select {
-		case <-signals:
-			return nil
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return nil
+			}
 		case err := <-p.componentErrs:
 			if err != nil {
 				return err
@@ -212,10 +217,16 @@
 		p.OnStop(deadline)
 	}
 	go func() {
-		select {
-		case <-signals:
-			cancel()
-		case <-ctx.Done():
+		for {
+			select {
+			case s := <-signals:
+				event.SignalInPlannedStop(p.Role, s.String(), s == syscall.SIGINT)
+				if s == syscall.SIGINT {
+					cancel()
+				}
+			case <-ctx.Done():
+				return
+			}
 		}
 	}()
 	// Gives the load balancer time to see that the process is not ready.
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -64,6 +64,12 @@
 	log.WithFields(fields).Info("planned stop ends")
 }
 
+// SignalInPlannedStop logs a signal that came during a planned stop. ends is set if it ends
+// the stop at once.
+func SignalInPlannedStop(role, signal string, ends bool) {
+	log.WithFields(log.Fields{"role": role, "signal": signal, "ends": ends}).Info("signal during the planned stop")
+}
+
 // PlannedStopCutRunning logs how many requests of a listener were running when a planned stop
 // closed their connections.
 func PlannedStopCutRunning(listener string, requests int) {
