forward: a stopping router takes only calls that end in time, and ends those that wait with an answer

Callers whose calls a stopping router had accepted more than 3 s after SIGTERM got a stream that broke off at the end of the stop, or a closed connection. The router accepted a call if 1.25 times the longest of the last 32 complete answers ended in time. That is no bound: answers get slower from second to second, and the long ones that fail or still run did not count. Nothing ended a waiting call early enough for an answer.

Once the listener has closed (2.7 s after SIGTERM, as the load balancer has stopped sending callers) only the call's own time limit counts: it must end 300 ms before the stop does. Before that, the prediction also uses answers that failed or were given up and the ages of running calls. 300 ms before the end each call whose response has not begun ends: 503 if no attempt may have run it, else 502; its attempts are cancelled and none follows. Streams that have begun go on and are cut without the last chunk. Each answer of the stop, also to calls that came before it, closes its connection.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -48,7 +48,7 @@
 		return fault.New(fault.BodyTooLarge, fault.NotRun, "the body has more than %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.f.shutdown.stopping():
 		c.f.shutdown.bodyRefused()
-		return fault.New(fault.Shutdown, fault.NotRun, "this router stops, the body did not come whole").WithRetryAfter(shutdownRetryAfter)
+		return shutdownError("this router stops, the body did not come whole")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fault.New(fault.DeadlineExceeded, fault.NotRun, "the body did not come whole in time")
 	case err != nil:
@@ -133,6 +133,9 @@
 		if c.f.selector.clock().Sub(selectedAt) > maxSelectionAge {
 			return errSelectionOutdated
 		}
+		if c.isFinal() {
+			return errStopEnds
+		}
 		return c.mayStillSend()
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -18,6 +18,9 @@
 // call is complete.
 func (c *forwardedCall) attempt() Step {
 	now := time.Now()
+	if c.isFinal() {
+		return c.Stopped(Unsent)
+	}
 	if reason := c.quarantined(); reason != "" {
 		crashes.Add("refused", 1)
 		return c.Quarantined(reason)
@@ -29,6 +32,12 @@
 		return Step{Abort: true}
 	}
 	d, err := c.selectBackend()
+	if c.isFinal() { // it may have waited for permits
+		if err == nil {
+			c.f.selector.failed(d, fault.Cancelled)
+		}
+		return c.Stopped(Unsent)
+	}
 	if err != nil {
 		if c.AttemptCount() == 0 {
 			return Step{Err: fault.From(err)}
@@ -74,6 +83,11 @@
 		c.f.selector.failed(d, fault.Cancelled)
 		return Step{Err: fault.New(fault.Cancelled, fault.Unknown, "the caller has left")}
 	}
+	if c.isFinal() {
+		c.f.selector.failed(d, fault.Cancelled)
+		c.outcomes = append(c.outcomes, fmt.Sprintf("%s:%s", c.backend, fail.outcome))
+		return c.Stopped(fail.outcome)
+	}
 	if errors.Is(context.Cause(c.ctx), errPartQuarantined) {
 		c.f.selector.failed(d, fault.Cancelled)
 		c.outcomes = append(c.outcomes, c.backend+":cancelled")
@@ -239,6 +253,10 @@
 		c.writeBody(body)
 		return nil, Step{}
 	}
+	if !c.f.shutdown.beginResponse(c.stop) {
+		r.close(false)
+		return &failure{InvalidResponse, errStopEnds}, Step{}
+	}
 	c.writeHeader(r, r.length)
 	c.writeBody(body)
 	rest := &errorRecorder{Reader: r.body}
@@ -327,6 +345,10 @@
 			c.f.selector.firstToken(d)
 		}
 		if !c.headerWritten {
+			if !c.f.shutdown.beginResponse(c.stop) {
+				r.close(false)
+				return &failure{InvalidResponse, errStopEnds}, Step{}
+			}
 			c.bindStarted(d)
 			c.writeHeader(r, -1)
 		}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -11,6 +11,7 @@
 
 	"parsleypulley/internal/crashreport"
 	"parsleypulley/internal/event"
+	"parsleypulley/internal/fault"
 	"parsleypulley/internal/quarantine"
 	"parsleypulley/internal/quota"
 	"parsleypulley/internal/quota/guard"
@@ -194,10 +195,10 @@
 
 // BeginShutdown makes the forwarder close callers' connections after their next
 // response, and refuse calls that might not be complete at the end of the planned stop,
-// which cuts them.
+// which cuts them. Calls whose response has not begun shortly before the end get an answer.
 func (f *Forwarder) BeginShutdown(times StopTimes) {
 	f.shutdown.begin(times)
-	time.AfterFunc(time.Until(times.Ends.Add(-bodyStopMargin)), f.shutdown.endBodies)
+	time.AfterFunc(time.Until(times.Ends.Add(-finalAnswerMargin)), f.shutdown.endWaiting)
 }
 
 // StopCounts returns the numbers of calls of the planned stop, at its end.
@@ -319,19 +320,22 @@
 		MaxAttempts: max(1, int(c.route.GetAttempts())),
 		Deadline:    c.arrivedAt.Add(c.timeout()),
 	}
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.Deadline)
+	stoppable, endAttempts := context.WithCancelCause(c.r.Context())
+	defer endAttempts(nil)
+	c.f.shutdown.setCancel(c.stop, endAttempts)
+	ctx, cancel := context.WithDeadline(stoppable, c.Deadline)
 	defer cancel()
 	c.callCtx, c.ctx = ctx, ctx
 	c.service = routes.PickService(c.route, rand.Uint64N(routes.TotalWeight(c.route)))
 	if err := c.bindResumed(ctx); err != nil {
-		return err
+		return c.beforeAttempts(err)
 	}
 	c.accountSalt = saltOf(c.account)
 	c.promptLevels = levelsOf(c.route, c.call, c.accountSalt)
 	c.lastEventID = c.call.LastEventID
 	c.header = endToEndHeaders(c.r.Header)
 	if err := c.takeQuota(); err != nil {
-		return err
+		return c.beforeAttempts(err)
 	}
 	c.f.selector.recordCall(c.service)
 	for {
@@ -348,6 +352,15 @@
 	}
 }
 
+// beforeAttempts returns the error of a call that ends before its first attempt with err: what it
+// waited for does not count if the end of the planned stop ended the wait.
+func (c *forwardedCall) beforeAttempts(err error) error {
+	if c.isFinal() && !fault.Is(err, fault.Cancelled) {
+		return c.Stopped(Unsent).Err
+	}
+	return err
+}
+
 // takeQuota takes the cost of the call from the quota of its client account, if it has one.
 func (c *forwardedCall) takeQuota() (err error) {
 	cost := quota.Cost(c.account.GetQuota(), c.call.InputTokens, c.call.OutputTokens)
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -23,6 +23,7 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(length, 10))
 	}
+	c.closeIfStopping()
 	if _, hasType := h["Content-Type"]; !hasType {
 		h["Content-Type"] = nil // nil keeps net/http from guessing a content type
 	}
@@ -31,6 +32,14 @@
 	c.RecordDelivery()
 }
 
+// closeIfStopping makes the answer the last one on its connection if the router stops. The stop may
+// have begun after the call arrived.
+func (c *forwardedCall) closeIfStopping() {
+	if c.f.shutdown.stopping() {
+		c.w.Header().Set("Connection", "close")
+	}
+}
+
 // eventWriteTimeout limits the time to write one event. The buffers of a connection hold many
 // events, so a caller that takes longer hardly reads, and its stream would hold a backend server
 // until the deadline of the call.
@@ -137,6 +146,7 @@
 		}
 		c.w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
+	c.closeIfStopping()
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(status)
 	fmt.Fprintln(c.w, e.Kind)
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -157,6 +157,15 @@
 	return Step{Err: quarantineError(fault.NotRun, reason)}
 }
 
+// Stopped returns the step that follows when the call has to end since the router's planned stop is
+// about to end, after an attempt with the given outcome. Unsent stands for none.
+func (s *RetryState) Stopped(outcome Outcome) Step {
+	if outcome.mayHaveRun() {
+		s.possibleExecutions++
+	}
+	return s.Forbidden(shutdownError("this router stops"))
+}
+
 // Forbidden returns the step that follows when the call must not be sent any more, for the reason
 // of err, which holds for a call that has not run.
 func (s *RetryState) Forbidden(err *fault.Error) Step {
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+	"errors"
 	"expvar"
 	"net/http"
 	"slices"
@@ -21,9 +23,12 @@
 	// durationMargin is the factor by which an answer may take longer than the longest
 	// of the recent ones.
 	durationMargin = 1.25
-	// bodyStopMargin is how long before the end of the planned stop the reading of bodies ends,
-	// so that their callers still get the refusal.
-	bodyStopMargin = 300 * time.Millisecond
+	// finalAnswerMargin is how long before the end of the planned stop the calls whose response
+	// has not begun are ended, so that their callers still get an answer.
+	finalAnswerMargin = 300 * time.Millisecond
+	// The durations of answers that did not become complete are remembered for one to two times
+	// unfinishedWindow, so that a rare one does not stand for the route's answers for long.
+	unfinishedWindow = 15 * time.Second
 	// maxDurationRoutes limits the routes whose durations are kept. The duration on
 	// further routes is predicted from the deadline.
 	maxDurationRoutes = 256
@@ -54,8 +59,16 @@
 	// admission is what was known when the call was accepted or refused; nil if no stop had
 	// begun.
 	admission *event.StopAdmission
+	// begun is set once the response to the caller begins, and final once the call has to end
+	// with an answer since the stop is about to end. Only one of them is ever set.
+	begun, final bool
+	// cancel ends the attempts of the call; nil before there can be any.
+	cancel context.CancelCauseFunc
 }
 
+// errStopEnds is the cause of the end of attempts shortly before the planned stop ends.
+var errStopEnds = errors.New("the planned stop is about to end")
+
 // callEnd is how a call ended.
 type callEnd uint8
 
@@ -72,9 +85,11 @@
 	endCut
 )
 
-// shutdownGuard decides which calls a router takes during its planned stop: those whose
-// answers are predicted to be complete before the stop ends. It is safe for concurrent
-// use.
+// shutdownGuard decides which calls a router takes during its planned stop. While a load balancer
+// may still send callers, it takes those whose answers are predicted to be complete before the stop
+// ends; afterwards only those whose own time limit ends before that. Shortly before the end it ends
+// the calls whose response has not begun, so that their callers get an answer. It is safe for
+// concurrent use.
 type shutdownGuard struct {
 	mu sync.Mutex
 	// times are those of the planned stop; zero while there is none.
@@ -89,10 +104,29 @@
 	bodies map[*http.ResponseController]struct{}
 }
 
-// recentDurations is a ring of the durations of the last answers.
+// recentDurations holds the durations of the last answers of a route.
 type recentDurations struct {
+	// ring holds the last complete answers.
 	ring [durationSamples]time.Duration
 	next int
+	// unfinished is the longest of the answers that failed or that were given up since the time
+	// unfinishedFrom, and unfinishedBefore that of the window before. Complete ones would have
+	// taken longer.
+	unfinished, unfinishedBefore time.Duration
+	unfinishedFrom               time.Time
+}
+
+// turn begins a new window of unfinished answers if the current one is over.
+func (r *recentDurations) turn(now time.Time) {
+	switch age := now.Sub(r.unfinishedFrom); {
+	case age < unfinishedWindow:
+		return
+	case age < 2*unfinishedWindow:
+		r.unfinishedBefore = r.unfinished
+	default:
+		r.unfinishedBefore = 0
+	}
+	r.unfinished, r.unfinishedFrom = 0, now
 }
 
 func newShutdownGuard() *shutdownGuard {
@@ -124,8 +158,11 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.calls, c)
-	if end == endServed {
+	switch end {
+	case endServed:
 		g.record(c.route, now.Sub(c.arrivedAt))
+	case endFailed, endLeft, endCut:
+		g.recordUnfinished(now, c.route, now.Sub(c.arrivedAt))
 	}
 	switch {
 	case !c.counted:
@@ -158,10 +195,20 @@
 	return counts
 }
 
-// endBodies ends the reading of bodies that have not come whole.
-func (g *shutdownGuard) endBodies() {
+// endWaiting ends the calls whose response has not begun, and the reading of bodies that have not
+// come whole.
+func (g *shutdownGuard) endWaiting() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for c := range g.calls {
+		if c.begun {
+			continue
+		}
+		c.final = true
+		if c.cancel != nil {
+			c.cancel(errStopEnds)
+		}
+	}
 	for body := range g.bodies {
 		_ = body.SetReadDeadline(time.Now()) // fails only on a connection that has ended
 	}
@@ -172,7 +219,7 @@
 func (g *shutdownGuard) beginBody(body *http.ResponseController, deadline time.Time) (end func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if stop := g.times.Ends.Add(-bodyStopMargin); !g.times.Ends.IsZero() && stop.Before(deadline) {
+	if stop := g.times.Ends.Add(-finalAnswerMargin); !g.times.Ends.IsZero() && stop.Before(deadline) {
 		deadline = stop
 	}
 	g.bodies[body] = struct{}{}
@@ -199,31 +246,85 @@
 	return !g.times.Ends.IsZero()
 }
 
-// record records the duration of a complete answer. g.mu must be held.
-func (g *shutdownGuard) record(route string, d time.Duration) {
+// setCancel sets the function that ends the attempts of a call.
+func (g *shutdownGuard) setCancel(c *stopCall, cancel context.CancelCauseFunc) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.cancel = cancel
+	if c.final {
+		cancel(errStopEnds)
+	}
+}
+
+// beginResponse records that the response to the caller begins. It returns false if the call has to
+// end with a final answer instead.
+func (g *shutdownGuard) beginResponse(c *stopCall) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c.begun = !c.final
+	return c.begun
+}
+
+// isFinal reports whether a call has to end with a final answer.
+func (g *shutdownGuard) isFinal(c *stopCall) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return c.final
+}
+
+// durationsOf returns the recent durations of a route; nil if those of too many routes are kept.
+// g.mu must be held.
+func (g *shutdownGuard) durationsOf(route string) *recentDurations {
 	recent := g.durations[route]
-	if recent == nil {
-		if len(g.durations) >= maxDurationRoutes {
-			return
-		}
+	if recent == nil && len(g.durations) < maxDurationRoutes {
 		recent = &recentDurations{}
 		g.durations[route] = recent
 	}
-	recent.ring[recent.next%durationSamples] = d
-	recent.next++
+	return recent
+}
+
+// record records the duration of a complete answer. g.mu must be held.
+func (g *shutdownGuard) record(route string, d time.Duration) {
+	if recent := g.durationsOf(route); recent != nil {
+		recent.ring[recent.next%durationSamples] = d
+		recent.next++
+	}
 }
 
-// longest returns the longest recent duration. ok is false if there are too few.
-func (r *recentDurations) longest() (longest time.Duration, ok bool) {
+// recordUnfinished records how long an answer took that did not become complete. g.mu must be held.
+func (g *shutdownGuard) recordUnfinished(now time.Time, route string, d time.Duration) {
+	if route == "" {
+		return // not admitted
+	}
+	if recent := g.durationsOf(route); recent != nil {
+		recent.turn(now)
+		recent.unfinished = max(recent.unfinished, d)
+	}
+}
+
+// predict returns how long the answer of a call on a route may take, from the answers that were
+// complete, those that were not, and the calls that are running. ok is false if too few were
+// complete. g.mu must be held.
+func (g *shutdownGuard) predict(now time.Time, call *stopCall) (predicted time.Duration, ok bool) {
+	r := g.durations[call.route]
 	if r == nil || r.next < durationSamples {
 		return 0, false
 	}
-	return slices.Max(r.ring[:]), true
+	r.turn(now)
+	longest := max(slices.Max(r.ring[:]), r.unfinished, r.unfinishedBefore)
+	for c := range g.calls {
+		if c != call && c.route == call.route {
+			longest = max(longest, now.Sub(c.arrivedAt))
+		}
+	}
+	return time.Duration(durationMargin * float64(longest)), true
 }
 
 // admit returns an error if the stopping router must not take a call that has the given
 // time left: the answer might be cut. Another router can take the call at once. A stream
-// that can't be resumed elsewhere is never taken.
+// that can't be resumed elsewhere is never taken. Once callers can open no more connections, only
+// the time left counts: answers that get slower, or the long ones among them that fail, make a
+// prediction from past answers too short.
 func (g *shutdownGuard) admit(now time.Time, c *stopCall, route *wire.ForwardRoute, timeLeft time.Duration) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -232,12 +333,12 @@
 		return nil
 	}
 	c.admission = &event.StopAdmission{After: now.Sub(g.times.Began), Left: g.times.Ends.Sub(now), Predicted: timeLeft}
-	if longest, ok := g.durations[c.route].longest(); ok {
-		c.admission.Predicted, c.admission.Responses = min(timeLeft, time.Duration(durationMargin*float64(longest))), durationSamples
+	if predicted, ok := g.predict(now, c); ok && now.Before(g.times.ListenerCloses) {
+		c.admission.Predicted, c.admission.Responses = min(timeLeft, predicted), durationSamples
 	}
-	if route.GetStream() && !route.GetResumable() || now.Add(c.admission.Predicted).After(g.times.Ends) {
+	if route.GetStream() && !route.GetResumable() || now.Add(c.admission.Predicted).After(g.times.Ends.Add(-finalAnswerMargin)) {
 		g.count("refused", &g.counts.Refused)
-		return fault.New(fault.Shutdown, fault.NotRun, "this router stops").WithRetryAfter(shutdownRetryAfter)
+		return shutdownError("this router stops")
 	}
 	if !c.counted {
 		c.counted = true
@@ -246,5 +347,14 @@
 	return nil
 }
 
+// isFinal reports whether the call has to end with a final answer, since the planned stop is about
+// to end.
+func (c *forwardedCall) isFinal() bool { return c.f.shutdown.isFinal(c.stop) }
+
+// shutdownError returns the refusal of a call that has not run, by a router that stops.
+func shutdownError(reason string) *fault.Error {
+	return fault.New(fault.Shutdown, fault.NotRun, "%s", reason).WithRetryAfter(shutdownRetryAfter)
+}
+
 // cutByStop reports whether the end of the planned stop has cut the call.
 func (c *forwardedCall) cutByStop() bool { return daemon.CutByStop(c.r.Context()) }
