forward: the test of calls cut by a stop reads the log under a lock

TestCallsCutByTheStopAreToldFromThoseLeft read the entries of the memory handler while calls were logged; the race detector reported it. It keeps the lines itself, and asserts the same.

--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -6,14 +6,13 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/apex/log"
-	"github.com/apex/log/handlers/memory"
 	"github.com/matryer/is"
 
 	"parsleypulley/internal/daemon"
@@ -81,9 +80,17 @@
 // whose caller has left.
 func TestCallsCutByTheStopAreToldFromThoseLeft(t *testing.T) {
 	is := is.New(t)
-	entries := memory.New()
+	var mu sync.Mutex
+	failed := map[any]*log.Entry{} // the lines of failed calls by request
 	before := log.Log.(*log.Logger).Handler
-	log.SetHandler(entries)
+	log.SetHandler(log.HandlerFunc(func(e *log.Entry) error {
+		mu.Lock()
+		defer mu.Unlock()
+		if e.Message == "call failed" {
+			failed[e.Fields["request"]] = e
+		}
+		return nil
+	}))
 	defer log.SetHandler(before)
 	arrived := make(chan struct{}, 3)
 	hold := make(chan struct{})
@@ -123,10 +130,11 @@
 	left.Close()
 	logged := func(id string) *log.Entry {
 		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
-			for _, e := range slices.Clone(entries.Entries) {
-				if e.Message == "call failed" && e.Fields["request"] == id {
-					return e
-				}
+			mu.Lock()
+			e := failed[id]
+			mu.Unlock()
+			if e != nil {
+				return e
 			}
 		}
 		t.Fatal("not logged: ", id)
