forward: a stream goes on only with an event stream

What callers saw: a stream had begun and its server broke off; the next server answered with a document of status 400, 404, 302 or 200 with another content type, and the document stood in the middle of the stream, which ended as complete. After an answer without a body (404, 204, 205, 304, 307, 200 with a Content-Length of 0, a page in chunks without any) the stream ended as complete before its last piece.

Cause: on a route with streams every response with the stamp of a server and a status below 500 other than 408, 421, 429 and 503 was read as events, whatever its status and type, and a resumed stream that ended at once counted as complete.

After headers were sent, only a 200 of the type text/event-stream, or without a type, goes on with the stream; anything else counts as a failed attempt (retry within the budget, else the response is cut off). An end without events counts only if the server began an event stream and ended it with a last chunk, and stated the type unless the stream began without one. Before headers were sent, an answer that is no event stream is forwarded as any other answer: 4xx came as 502, or without what followed their last blank line.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -159,16 +159,19 @@
 	c.watched.wait(headAt)
 	attemptLatency.head.Record(headAt, headAt.Sub(now))
 	outcome := classifyResponse(resp)
+	if outcome == 0 && c.headerWritten && !isEventStream(resp) {
+		outcome = notContinued(resp)
+	}
 	switch {
-	case outcome == 0 && c.route.GetStream():
+	case outcome == 0 && c.route.GetStream() && isEventStream(resp):
 		c.quota.Spend()
 		return c.forwardStream(d, resp)
-	case outcome == 0 || outcome == Failed:
+	case !c.headerWritten && (outcome == 0 || outcome == Failed):
 		c.quota.Spend()
 		return c.forwardResponse(d, resp, outcome)
 	}
 	resp.discard()
-	return &failure{outcome, fmt.Errorf("status %d", resp.status)}, Step{}
+	return &failure{outcome, fmt.Errorf("status %d, type %q", resp.status, resp.header.Get("Content-Type"))}, Step{}
 }
 
 // classifyResponse returns the outcome that the status and the headers of a
@@ -203,8 +206,9 @@
 
 // forwardResponse forwards a non-streaming response. It buffers up to
 // maxBufferedBody bytes before it writes anything, so that a response cut off
-// within them can still be retried.
+// within them can still be retried. It must not be called once the caller has been sent headers.
 func (c *forwardedCall) forwardResponse(d *routing.Decision, r *response, outcome Outcome) (*failure, Step) {
+	c.watched.expectNoEvents()
 	if outcome == Failed {
 		now := time.Now()
 		step := c.Next(now, Failed, func() bool { return c.f.selector.tryRetry(c.service) })
@@ -295,14 +299,15 @@
 // result is as for runAttempt.
 func (c *forwardedCall) forwardStream(d *routing.Decision, r *response) (*failure, Step) {
 	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer)}
-	// A stream that goes on after the last event that the caller has may have none left.
-	resumed := c.headerWritten && c.lastEventID != ""
 	started := false
 	var gaps routing.GapSampler
 	defer func() { c.f.selector.eventGap(d, gaps.End()) }()
 	for {
 		event, id, err := events.next()
-		if errors.Is(err, io.EOF) && (started || resumed) {
+		if errors.Is(err, io.EOF) && (started || c.endsStream(r)) {
+			if !c.headerWritten {
+				c.writeHeader(r, -1)
+			}
 			r.close(true)
 			c.f.selector.finished(d)
 			c.answered(r)
--- /dev/null
+++ b/internal/forward/brokenstream_test.go
@@ -0,0 +1,234 @@
+package forward
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"parsleypulley/internal/wire"
+)
+
+// callRaw sends a call to the route of forwardRoute and returns the bytes of the response until its
+// connection ends. headers are pairs of names and values.
+func (r *fixture) callRaw(headers ...string) string {
+	c, err := net.Dial("tcp", r.server.Listener.Addr().String())
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(10 * time.Second)); err != nil {
+		r.t.Fatal(err)
+	}
+	text := "POST /p/x HTTP/1.1\r\nHost: one.example\r\nCall: c1\r\nKey: k\r\nConnection: close\r\nContent-Length: 4\r\n"
+	for i := 0; i+1 < len(headers); i += 2 {
+		text += headers[i] + ": " + headers[i+1] + "\r\n"
+	}
+	if _, err := io.WriteString(c, text+"\r\nbody"); err != nil {
+		r.t.Fatal(err)
+	}
+	data, err := io.ReadAll(c)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return string(data)
+}
+
+// splitResponse splits the bytes of a response with chunks into its head and its body. complete is set
+// if the last chunk has come, and nothing behind it.
+func splitResponse(raw string) (head, body string, complete bool) {
+	head, rest, _ := strings.Cut(raw, "\r\n\r\n")
+	if !strings.Contains(head, "\r\nTransfer-Encoding: chunked") {
+		return head, rest, true
+	}
+	data, _ := io.ReadAll(httputil.NewChunkedReader(bufio.NewReader(strings.NewReader(rest))))
+	return head, string(data), strings.HasSuffix(rest, "\r\n0\r\n\r\n")
+}
+
+// eventText returns the events from one number to another.
+func eventText(from, to int) string {
+	text := ""
+	for i := from; i <= to; i++ {
+		text += fmt.Sprintf("id: %d\ndata: x\n\n", i)
+	}
+	return text
+}
+
+// writeStream writes the head of a stream with the given headers, and a body in one chunk.
+func writeStream(c net.Conn, r *http.Request, headers, body string, end bool) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCall: %s\r\nSigned: yes\r\n%sTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Call"), headers)
+	if body != "" {
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(body), body)
+	}
+	if end {
+		io.WriteString(c, "0\r\n\r\n")
+	}
+}
+
+const streamType = "Content-Type: text/event-stream\r\n"
+
+// Guards against a stream that begins and breaks off, and into which the answer of the next server comes
+// although it does not go on with the stream, or which ends as complete with that answer.
+func TestAnswersAfterAStreamHasBegun(t *testing.T) {
+	const pieces = 5
+	whole := eventText(1, pieces)
+	respond := func(status int, headers, body string) backendScript {
+		return func(c net.Conn, r *http.Request) { writeResponse(c, r, status, headers, body) }
+	}
+	unsigned := func(status int, headers, body string) backendScript {
+		return func(c net.Conn, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%sContent-Length: %d\r\n\r\n%s", status, headers, len(body), body)
+		}
+	}
+	bare := func(status int, headers string) backendScript {
+		return func(c net.Conn, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 %d X\r\nCall: %s\r\nSigned: yes\r\n%s\r\n", status, r.Header.Get("Call"), headers)
+		}
+	}
+	stream := func(headers, body string) backendScript {
+		return func(c net.Conn, r *http.Request) { writeStream(c, r, headers, body, true) }
+	}
+	const document = "an error\n\nof the server\n\n"
+	tests := map[string]struct {
+		// second answers the attempt after the one that broke off.
+		second backendScript
+		// final is set if no server is asked afterwards.
+		final bool
+		// complete is set if the answer goes on with the stream to its end.
+		complete bool
+	}{
+		"500":                   {second: respond(500, "", document)},
+		"500 like events":       {second: respond(500, streamType, eventText(4, 5))},
+		"500 without the stamp": {second: unsigned(500, "", document)},
+		"502 without the stamp": {second: unsigned(502, "", document)},
+		"503, not run":          {second: respond(503, "Not-Run: 1\r\n", document)},
+		"503, nothing said":     {second: respond(503, "", document)},
+		"429, not run":          {second: respond(429, "Not-Run: 1\r\n", document)},
+		"421":                   {second: respond(421, "", document)},
+		"400":                   {second: respond(400, "", document)},
+		"404":                   {second: respond(404, "Content-Type: text/plain\r\n", document)},
+		"404 without a body":    {second: respond(404, "", "")},
+		"404 like events":       {second: respond(404, streamType, eventText(4, 5))},
+		"404 in chunks": {second: func(c net.Conn, r *http.Request) {
+			io.WriteString(c, "HTTP/1.1 404 X\r\nCall: c1\r\nSigned: yes\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nno\n\r\n1\r\n\n\r\n0\r\n\r\n")
+		}},
+		"410 without a length":          {second: bare(410, "")},
+		"201":                           {second: respond(201, "", eventText(4, 5))},
+		"204":                           {second: bare(204, "")},
+		"205":                           {second: respond(205, "", "")},
+		"206":                           {second: respond(206, "Content-Range: bytes 0-19/40\r\n", eventText(4, 5))},
+		"304":                           {second: bare(304, "")},
+		"307":                           {second: respond(307, "Location: http://192.0.2.1/\r\n", "")},
+		"302 with a body":               {second: respond(302, "Location: http://192.0.2.1/\r\n", document)},
+		"200, no events, no length":     {second: bare(200, "")},
+		"200, length 0":                 {second: respond(200, "", "")},
+		"200, event stream of length 0": {second: respond(200, streamType, "")},
+		"200, page":                     {second: respond(200, "Content-Type: text/html\r\n", "<p>error</p>\n\n")},
+		"200, page in chunks, empty":    {second: stream("Content-Type: text/html\r\n", "")},
+		"200, JSON like events":         {second: respond(200, "Content-Type: application/json\r\n", eventText(4, 5))},
+		"200 without the stamp":         {second: unsigned(200, streamType, eventText(4, 5))},
+		"200, encoded":                  {second: respond(200, "Content-Encoding: gzip\r\n", eventText(4, 5))},
+		"cut in an event":               {second: func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(4, 5)[:20], false) }},
+		"ends in an event":              {second: stream(streamType, eventText(4, 5)[:20])},
+		"bytes that are no answer":      {second: func(c net.Conn, r *http.Request) { io.WriteString(c, "id: 4\ndata: x\n\n") }},
+		"nothing":                       {second: func(net.Conn, *http.Request) {}},
+		"panic": {second: func(c net.Conn, r *http.Request) {
+			writeResponse(c, &http.Request{Header: http.Header{"Call": {"bad"}}}, 200, "", "")
+		}, final: true},
+		"goes on":                       {second: stream(streamType, eventText(4, 5)), complete: true},
+		"goes on, type with a charset":  {second: stream("Content-Type: text/event-stream; charset=utf-8\r\n", eventText(4, 5)), complete: true},
+		"goes on, no type":              {second: stream("", eventText(4, 5)), complete: true},
+		"goes on, with a length":        {second: respond(200, streamType, eventText(4, 5)), complete: true},
+		"goes on, comments and fields":  {second: stream(streamType, ": alive\n\nretry: 100\n\nx-weight-versions: 3\nid: 4\ndata: x\n\n"+eventText(5, 5)), complete: true},
+		"goes on, comment with last ID": {second: stream(streamType, "id: 3\n: alive\n\n"+eventText(4, 5)), complete: true},
+		"goes on, without a length":     {second: func(c net.Conn, r *http.Request) { bare(200, streamType)(c, r); io.WriteString(c, eventText(4, 5)) }, complete: true},
+	}
+	for name, test := range tests {
+		for _, attempts := range []uint32{2, 3} { // the third one goes on with the stream
+			t.Run(fmt.Sprint(name, ", attempts ", attempts), func(t *testing.T) {
+				is := is.New(t)
+				var made atomic.Int32
+				script := func(c net.Conn, r *http.Request) {
+					switch made.Add(1) {
+					case 1:
+						writeStream(c, r, streamType, eventText(1, 3)+"id: 4\nda", false)
+					case 2:
+						test.second(c, r)
+					default:
+						after := 0
+						fmt.Sscan(r.Header.Get("After"), &after)
+						writeStream(c, r, streamType, eventText(after+1, pieces), true)
+					}
+				}
+				route := forwardRoute(func(r *wire.ForwardRoute) { setResumableStream(r); r.Attempts = attempts })
+				f := newFixture(t, route, startBackend(t, script), startBackend(t, script), startBackend(t, script))
+				f.f.dialect = panicDialect{}
+				head, body, complete := splitResponse(f.callRaw())
+				is.True(strings.HasPrefix(head, "HTTP/1.1 200 OK\r\n"))
+				is.True(strings.Contains(head, "\r\nContent-Type: text/event-stream"))
+				for _, extra := range []string{"id: 3\n: alive\n\n", ": alive\n\n", "retry: 100\n\n", "x-weight-versions: 3\n"} {
+					body = strings.Replace(body, extra, "", 1)
+				}
+				t.Logf("%q, complete: %v", body, complete)
+				is.True(strings.HasPrefix(whole, body)) // each piece once, in order, and no other bytes
+				is.True(strings.HasPrefix(body, whole[:3*len(eventText(1, 1))]))
+				is.True(strings.HasSuffix(body, "\n\n")) // no part of an event
+				is.True(!complete || body == whole)      // complete only with the last piece
+				if test.complete || attempts == 3 && !test.final {
+					is.True(complete) // sound streams lose nothing
+				}
+				is.True(made.Load() <= int32(attempts)+extraAttempts)
+			})
+		}
+	}
+}
+
+// Guards against answers on a route with streams that are no streams, but are read as events: error
+// documents lost what follows their last blank line, or were taken for broken streams and gone on with
+// elsewhere.
+func TestAnswersOnStreamRoutesThatAreNoStreams(t *testing.T) {
+	long := strings.Repeat("no\n\n", maxBufferedBody/2)
+	for name, test := range map[string]struct {
+		status        int
+		headers, body string
+		// cut is the part of the body that is not sent.
+		cut int
+	}{
+		"404":                        {404, "Content-Type: text/plain\r\n", "not found\n", 0},
+		"404 with a blank line":      {404, "Content-Type: text/html\r\n", "<p>not found</p>\n\nat all", 0},
+		"404 like events":            {404, streamType, eventText(1, 2), 0},
+		"400 without a body":         {400, "", "", 0},
+		"410, long":                  {410, "", long, 0},
+		"410, long, cut":             {410, "", long, len(long) / 3},
+		"302":                        {302, "Location: /y\r\n", "moved", 0},
+		"200, JSON":                  {200, "Content-Type: application/json\r\n", "{\"a\": 1}", 0},
+		"200, page with blank lines": {200, "Content-Type: text/html\r\n", "<p>\n\n</p>", 0},
+		"200, long page, cut":        {200, "Content-Type: text/html\r\n", long, len(long) / 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var made atomic.Int32
+			script := func(c net.Conn, r *http.Request) {
+				made.Add(1)
+				fmt.Fprintf(c, "HTTP/1.1 %d X\r\nCall: %s\r\nSigned: yes\r\n%sContent-Length: %d\r\n\r\n%s", test.status, r.Header.Get("Call"), test.headers,
+					len(test.body), test.body[:len(test.body)-test.cut])
+			}
+			f := newFixture(t, forwardRoute(setResumableStream), startBackend(t, script), startBackend(t, script))
+			raw := f.callRaw()
+			head, body, _ := strings.Cut(raw, "\r\n\r\n")
+			is.True(strings.HasPrefix(head, fmt.Sprint("HTTP/1.1 ", test.status)))
+			is.True(strings.Contains(head, fmt.Sprint("\r\nContent-Length: ", len(test.body))))
+			is.True(strings.HasPrefix(test.body, body))
+			is.Equal(body == test.body, test.cut == 0)
+			is.Equal(made.Load(), int32(1))
+		})
+	}
+}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -128,6 +128,13 @@
 	}
 }
 
+// expectNoEvents records that the response is no stream, also on a streaming route.
+func (a *watchedAttempt) expectNoEvents() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.watch.stream = false
+}
+
 // wait records that the router waits for progress of the attempt.
 func (a *watchedAttempt) wait(now time.Time) {
 	a.mu.Lock()
