forward: only the events that follow go on with a stream

What callers saw: after a stream had broken off, the next server's events came whatever they were: from the first one on, the last one again, with one missing, without IDs; a document or a response head with a blank line in a 200 stood in the stream, which ended as complete. The same with a caller that takes a stream up. A stream whose events have no IDs was begun anew at the next server, behind the events that the caller had.

streamPosition decides, without I/O, whether an event goes on where the caller is, on routes whose streams may be resumed. The first event with data after a change of server has an ID of the kind that the stream has, and the next number if the IDs so far were consecutive. All lines of an attempt that goes on are comments or fields. While the caller has events that no ID covers, the stream is cut off and not resumed; events of a first attempt are still forwarded as they are unless their IDs go back. What can't be told: a gap in a stream whose numbers have gaps or that a caller takes up, and an order of IDs that are no numbers.

TestStreamPosition tests the decision alone.

In TestEndlessResponses the stand-in for the sound server began at event 1 again when it was asked to go on after it, and the test did not look at the body; it now goes on, and the test compares the body.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -144,7 +144,7 @@
 		Remaining:          c.Deadline.Sub(now),
 		CacheSalt:          c.versionedSalt(d.WeightsVersion),
 		Urgency:            urgencyOf(c.route, c.account),
-		LastEventID:        c.lastEventID,
+		LastEventID:        c.position.lastID,
 		WeightsVersion:     d.WeightsVersion,
 	})
 	if header.Get("User-Agent") == "" {
@@ -300,6 +300,7 @@
 func (c *forwardedCall) forwardStream(d *routing.Decision, r *response) (*failure, Step) {
 	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer)}
 	started := false
+	c.position.beginAttempt(c.headerWritten)
 	var gaps routing.GapSampler
 	defer func() { c.f.selector.eventGap(d, gaps.End()) }()
 	for {
@@ -318,6 +319,12 @@
 			return &failure{InvalidResponse, withCause(c.ctx, err)}, Step{}
 		}
 		progress := hasData(event)
+		if c.route.GetResumable() {
+			if err := c.position.check(event, id, progress); err != nil {
+				r.close(false)
+				return &failure{InvalidResponse, fmt.Errorf("%w: %.40q after %.40q", err, id, c.position.lastID)}, Step{}
+			}
+		}
 		now := time.Now()
 		if progress {
 			c.watched.eventArrived(now)
@@ -340,9 +347,8 @@
 			c.f.selector.failed(d, fault.Cancelled)
 			return nil, Step{Err: fault.New(fault.Cancelled, fault.Ran, "the caller has left: %w", err)}
 		}
-		if id != "" {
-			c.lastEventID = id
-		}
+		c.position.sent(event, id, progress)
+		c.Resumable = c.route.GetResumable() && !c.position.unknown
 		c.refreshRecord(time.Now())
 		if progress {
 			c.f.selector.eventGap(d, gaps.Event(now))
--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"parsleypulley/internal/streamrecord"
 	"parsleypulley/internal/wire"
 )
 
@@ -134,8 +135,25 @@
 		"200, page":                     {second: respond(200, "Content-Type: text/html\r\n", "<p>error</p>\n\n")},
 		"200, page in chunks, empty":    {second: stream("Content-Type: text/html\r\n", "")},
 		"200, JSON like events":         {second: respond(200, "Content-Type: application/json\r\n", eventText(4, 5))},
+		"200, document":                 {second: respond(200, "", document)},
+		"200, document with a colon":    {second: respond(200, "", "error: none\n\n")},
+		"200, document as events":       {second: stream(streamType, document)},
+		"200, page as events":           {second: stream(streamType, "<p class=\"a:b\">error</p>\n\n")},
+		"200, response head as events":  {second: stream(streamType, "HTTP/1.1 500 X\r\nServer: x\r\n\r\n")},
+		"200, JSON as events":           {second: stream(streamType, "{\"error\": \"none\"}\n\n")},
 		"200 without the stamp":         {second: unsigned(200, streamType, eventText(4, 5))},
 		"200, encoded":                  {second: respond(200, "Content-Encoding: gzip\r\n", eventText(4, 5))},
+		"first event again":             {second: stream(streamType, eventText(1, 5))},
+		"last event again":              {second: stream(streamType, eventText(3, 5))},
+		"event skipped":                 {second: stream(streamType, eventText(5, 5))},
+		"events without IDs":            {second: stream(streamType, "data: x\n\ndata: x\n\n")},
+		"event with an empty ID":        {second: stream(streamType, "id\ndata: x\n\n"+eventText(4, 5))},
+		"event with another kind of ID": {second: stream(streamType, "id: d\ndata: x\n\n")},
+		"event with a huge ID":          {second: stream(streamType, "id: 99999999999999999999\ndata: x\n\n")},
+		"event with a negative ID":      {second: stream(streamType, "id: -4\ndata: x\n\n")},
+		"error event":                   {second: stream(streamType, "event: error\ndata: failed\n\n")},
+		"ID goes back without data":     {second: stream(streamType, "id: 1\n\n"+eventText(4, 5))},
+		"event repeated later":          {second: stream(streamType, eventText(4, 4)+eventText(4, 5))},
 		"cut in an event":               {second: func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(4, 5)[:20], false) }},
 		"ends in an event":              {second: stream(streamType, eventText(4, 5)[:20])},
 		"bytes that are no answer":      {second: func(c net.Conn, r *http.Request) { io.WriteString(c, "id: 4\ndata: x\n\n") }},
@@ -232,3 +250,102 @@
 		})
 	}
 }
+
+// Guards against a stream that is taken up after an event at which no other server can go on: the caller
+// has later events without an ID, or bytes that are no event.
+func TestStreamsWhosePositionIsNotKnown(t *testing.T) {
+	for name, test := range map[string]struct {
+		// first is what the first server sends before it breaks off, and after the ID after which the
+		// stream goes on; "-" if it must not.
+		first, after string
+	}{
+		"no IDs":                      {"data: x\n\ndata: x\n\n", "-"},
+		"no ID in the last event":     {eventText(1, 2) + "data: x\n\n", "-"},
+		"no ID in an earlier event":   {"data: x\n\n" + eventText(2, 3), "3"},
+		"empty ID":                    {eventText(1, 2) + "id:\ndata: x\n\n", "-"},
+		"bytes that are no event":     {eventText(1, 2) + "<p>\n\n", "-"},
+		"comments before any event":   {": alive\n\n: alive\n\n", ""},
+		"comments after an event":     {eventText(1, 2) + ": alive\n\n", "2"},
+		"ID without data":             {eventText(1, 2) + "id: 3\n\n", "3"},
+		"events that are not counted": {"id: 10\ndata: x\n\nid: 20\ndata: x\n\n", "20"},
+		"IDs that are no numbers":     {"id: a\ndata: x\n\nid: b\ndata: x\n\n", "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var made atomic.Int32
+			after := "-"
+			script := func(c net.Conn, r *http.Request) {
+				if made.Add(1) == 1 {
+					writeStream(c, r, streamType, test.first, false)
+					return
+				}
+				after = r.Header.Get("After")
+				id := "30"
+				switch {
+				case test.after == "b":
+					id = "c"
+				case test.after == "2", test.after == "3":
+					id = map[string]string{"2": "3", "3": "4"}[test.after]
+				}
+				writeStream(c, r, streamType, "id: "+id+"\ndata: y\n\n", true)
+			}
+			f := newFixture(t, forwardRoute(setResumableStream), startBackend(t, script), startBackend(t, script))
+			_, body, complete := splitResponse(f.callRaw())
+			is.Equal(after, test.after)
+			is.Equal(complete, test.after != "-")
+			is.Equal(made.Load(), map[bool]int32{true: 2, false: 1}[complete])
+			end := strings.LastIndex(test.first, "\n\n") + 2
+			is.True(strings.HasPrefix(body, test.first[:end]))
+			if !complete {
+				is.Equal(body, test.first[:end])
+			} else {
+				is.Equal(strings.Count(body[end:], "\n\n"), 1) // the event of the second server
+				is.True(strings.HasSuffix(body, "\ndata: y\n\n") && strings.HasPrefix(body[end:], "id: "))
+			}
+		})
+	}
+}
+
+// Guards against a caller that takes up a stream and gets events that it has, or misses some, or that can't
+// get the end of a stream whose last event it has.
+func TestStreamsTakenUpByCallers(t *testing.T) {
+	for name, test := range map[string]struct {
+		first  backendScript
+		status int
+		// body is that of a complete answer.
+		body string
+		made int32
+	}{
+		"goes on":              {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(4, 5), true) }, 200, eventText(4, 5), 1},
+		"begins anew":          {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(1, 5), true) }, 200, eventText(4, 5), 2},
+		"repeats the last":     {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(3, 5), true) }, 200, eventText(4, 5), 2},
+		"no IDs":               {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "data: x\n\n", true) }, 200, eventText(4, 5), 2},
+		"document":             {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "not found\n\n", true) }, 200, eventText(4, 5), 2},
+		"length 0":             {func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, streamType, "") }, 200, eventText(4, 5), 2},
+		"nothing left":         {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "", true) }, 200, "", 1},
+		"nothing left, cut":    {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "", false) }, 200, eventText(4, 5), 2},
+		"nothing, no type":     {func(c net.Conn, r *http.Request) { writeStream(c, r, "", "", true) }, 200, eventText(4, 5), 2},
+		"404 of the server":    {func(c net.Conn, r *http.Request) { writeResponse(c, r, 404, "", "none\n") }, 404, "none\n", 1},
+		"broken after a piece": {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(4, 4), false) }, 200, eventText(4, 5), 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var made atomic.Int32
+			f := softwareFixture(t, []string{"v1", "v1"}, func(_ string, c net.Conn, r *http.Request) {
+				if made.Add(1) == 1 {
+					test.first(c, r)
+					return
+				}
+				after := 0
+				fmt.Sscan(r.Header.Get("After"), &after)
+				writeStream(c, r, streamType, eventText(after+1, 5), true)
+			})
+			f.f.opts.Streams.Began(streamrecord.KeyOf("indus", "c0"), streamrecord.SoftwareOf("lab", "v1"))
+			head, body, complete := splitResponse(f.callRaw("After", "3", "Began", "c0"))
+			is.True(strings.HasPrefix(head, fmt.Sprint("HTTP/1.1 ", test.status)))
+			is.True(complete)
+			is.Equal(body, test.body)
+			is.Equal(made.Load(), test.made)
+		})
+	}
+}
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -31,7 +31,7 @@
 // server has begun an event stream and ended it: with a last chunk, and with a stated type unless
 // the stream began without one. A length of 0 or the end of the connection also follows errors.
 func (c *forwardedCall) endsStream(r *response) bool {
-	if c.lastEventID == "" || len(r.resp.TransferEncoding) == 0 {
+	if c.position.lastID == "" || len(r.resp.TransferEncoding) == 0 {
 		return false
 	}
 	return r.header.Get("Content-Type") != "" || c.headerWritten && c.w.Header().Get("Content-Type") == ""
--- a/internal/forward/endless_test.go
+++ b/internal/forward/endless_test.go
@@ -83,7 +83,9 @@
 					return
 				}
 				if route := forwardRoute(test.route); route.Stream {
-					writeEvents(c, r, 1, 2, true)
+					after := 0
+					fmt.Sscan(r.Header.Get("After"), &after)
+					writeEvents(c, r, after+1, 2, true)
 					return
 				}
 				writeResponse(c, r, 200, "", "whole")
@@ -92,11 +94,14 @@
 			var before, after runtime.MemStats
 			runtime.ReadMemStats(&before)
 			began := time.Now()
-			status, _, _, err := r.call()
+			status, body, _, err := r.call()
 			took := time.Since(began)
 			runtime.ReadMemStats(&after)
 			is.NoErr(err)
-			is.Equal(status, 200)       // of the other backend server
+			is.Equal(status, 200) // of the other backend server
+			if forwardRoute(test.route).Stream {
+				is.Equal(body, "id: 1\ndata: x\n\nid: 2\ndata: x\n\n")
+			}
 			is.True(took < time.Second) // the route's limit is 2 s
 			is.True(after.TotalAlloc-before.TotalAlloc < maxEndlessBytes)
 			select {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -261,8 +261,8 @@
 	startedBy *wire.Backend
 	// recordedAt is the time at which the software of the stream was recorded last.
 	recordedAt time.Time
-	// lastEventID is the ID of the newest event that the caller has received.
-	lastEventID string
+	// position is how far the caller has got in the stream.
+	position streamPosition
 	// headerWritten is set once the caller has been sent response headers.
 	headerWritten bool
 	// firstEventDelay is the time from the arrival of the call to the first event
@@ -315,7 +315,7 @@
 	}
 	c.accountSalt = saltOf(c.account)
 	c.promptLevels = levelsOf(c.route, c.call, c.accountSalt)
-	c.lastEventID = c.call.LastEventID
+	c.position.lastID = c.call.LastEventID
 	c.header = endToEndHeaders(c.r.Header)
 	if err := c.takeQuota(); err != nil {
 		return err
