forward: whole events behind lines that fill the read buffer, and their last ID

What callers saw: half an event, and then the whole event again, if a stream broke off inside an event with a line of exactly 4,096 bytes (or a multiple). Cause: the rest of such a line is its line end alone, which was taken for the blank line that ends an event.

Of an event with two id fields the first one was remembered. Callers go by the last one, as the standard says, so the stream went on too early.

TestLineThatFillsTheBuffer, TestEventID and two cases of TestStreamsWhosePositionIsNotKnown failed before (asked to go on after 2 instead of 3; not resumed at all).

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -267,8 +267,10 @@
 		"comments before any event":   {": alive\n\n: alive\n\n", ""},
 		"comments after an event":     {eventText(1, 2) + ": alive\n\n", "2"},
 		"ID without data":             {eventText(1, 2) + "id: 3\n\n", "3"},
+		"two IDs in an event":         {eventText(1, 2) + "id: 1\nid: 3\ndata: x\n\n", "3"},
 		"events that are not counted": {"id: 10\ndata: x\n\nid: 20\ndata: x\n\n", "20"},
 		"IDs that are no numbers":     {"id: a\ndata: x\n\nid: b\ndata: x\n\n", "b"},
+		"line as long as the buffer":  {eventText(1, 2) + "data: " + strings.Repeat("x", readBuffer-len("data: ")) + "\nid: 3", "2"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -27,6 +27,9 @@
 // io.ErrUnexpectedEOF if the last event is incomplete.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.buf = e.buf[:0]
+	// inLine is set while a line that is longer than the buffer of r is read: its end looks like a
+	// blank line if the rest fits the buffer exactly.
+	inLine := false
 	for {
 		line, err := e.r.ReadSlice('\n')
 		e.buf = append(e.buf, line...)
@@ -34,6 +37,7 @@
 			return nil, "", errEventTooLong
 		}
 		if errors.Is(err, bufio.ErrBufferFull) {
+			inLine = true
 			continue
 		}
 		if err != nil {
@@ -42,9 +46,10 @@
 			}
 			return nil, "", err
 		}
-		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+		if !inLine && len(bytes.TrimRight(line, "\r\n")) == 0 {
 			return e.buf, eventID(e.buf), nil
 		}
+		inLine = false
 	}
 }
 
@@ -61,14 +66,17 @@
 	return false
 }
 
-// eventID returns the value of an event's id field.
+// eventID returns the value of an event's last id field, which is the one that callers go by.
 func eventID(event []byte) string {
+	var id []byte
 	for len(event) > 0 {
 		line, rest, _ := bytes.Cut(event, []byte("\n"))
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value))
+			id = bytes.TrimSpace(value)
+		} else if string(bytes.TrimSuffix(line, []byte("\r"))) == "id" {
+			id = nil
 		}
 		event = rest
 	}
-	return ""
+	return string(id)
 }
--- a/internal/forward/events_test.go
+++ b/internal/forward/events_test.go
@@ -24,6 +24,30 @@
 	is.True(errors.Is(err, io.ErrUnexpectedEOF)) // an incomplete event is not returned
 }
 
+// Guards against an event that is split behind a line which fills the read buffer: its first half was sent
+// to the caller, and again with the whole event by the next server.
+func TestLineThatFillsTheBuffer(t *testing.T) {
+	is := is.New(t)
+	for length := 10; length <= 50; length++ {
+		event := "data: " + strings.Repeat("x", length) + "\r\nid: 7\r\n\r\n"
+		r := eventReader{r: bufio.NewReaderSize(strings.NewReader(event+"data: y\n\n"), 16)}
+		got, id, err := r.next()
+		is.NoErr(err)
+		is.Equal(string(got), event)
+		is.Equal(id, "7")
+	}
+}
+
+// Guards against an ID that callers don't go by.
+func TestEventID(t *testing.T) {
+	is := is.New(t)
+	for text, want := range map[string]string{
+		"id: 1\ndata: x\n\n": "1", "id: 1\r\nid:2\r\n\r\n": "2", "data: id: 3\n\n": "", "id: 1\nid\n\n": "", "id: 1\nid:\n\n": "", "ids: 1\n\n": "",
+	} {
+		is.Equal(eventID([]byte(text)), want)
+	}
+}
+
 func TestEventReaderReturnsEOFAfterWholeEvent(t *testing.T) {
 	is := is.New(t)
 	r := eventReader{r: bufio.NewReader(strings.NewReader("data: a\n\n"))}
