forward: no error text once headers were sent

finish wrote the error response of a call unless the call was cancelled or its step said that the response is cut off. No path was found that ends a call in another way after headers were sent (deadline, attempts, budget, no server, a view or key that is no longer valid: TestCallsThatEndAfterAStreamHasBegun passed before), but each new one would have put its text into the response, and ended it as complete. finish now goes by whether headers were sent.

TestNoErrorIsWrittenIntoAResponse failed before: the text of the error was written.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httputil"
 	"strings"
 	"sync/atomic"
@@ -13,8 +14,11 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
+	"parsleypulley/internal/fault"
 	"parsleypulley/internal/streamrecord"
+	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
 
@@ -351,3 +355,93 @@
 		})
 	}
 }
+
+// Guards against a stream that ends as complete, or with the text of an error, when the call ends for a reason
+// of the router after the stream has begun.
+func TestCallsThatEndAfterAStreamHasBegun(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*wire.ForwardRoute)
+		// budget limits retries.
+		budget RetryBudgetLimits
+		// between is called when the first server has sent its events, before it breaks off.
+		between func(f *fixture)
+		second  backendScript
+	}{
+		"deadline": {change: func(r *wire.ForwardRoute) { r.TimeoutMs = 300 }, second: func(net.Conn, *http.Request) { time.Sleep(time.Second) }},
+		"deadline, events go on": {change: func(r *wire.ForwardRoute) { r.TimeoutMs = 300 }, second: func(c net.Conn, r *http.Request) {
+			writeStream(c, r, streamType, eventText(4, 4), false)
+			time.Sleep(time.Second)
+		}},
+		"no further attempts": {change: func(r *wire.ForwardRoute) { r.Attempts = 1 }},
+		"not to be resumed":   {change: func(r *wire.ForwardRoute) { r.Resumable = false }},
+		"not to be repeated":  {change: setAtMostOnce},
+		"no budget":           {budget: RetryBudgetLimits{Window: time.Second}},
+		"no server left": {between: func(f *fixture) {
+			f.setBackend(0, "127.0.0.1:1", wire.BackendState_BACKEND_STATE_DRAINING)
+			f.setBackend(1, "127.0.0.1:1", wire.BackendState_BACKEND_STATE_DRAINING)
+			f.f.selector.setView(f.log.Snapshot())
+		}},
+		"servers not reached": {between: func(f *fixture) {
+			f.setBackend(0, "127.0.0.1:1", wire.BackendState_BACKEND_STATE_READY)
+			f.setBackend(1, "127.0.0.1:1", wire.BackendState_BACKEND_STATE_READY)
+			f.f.selector.setView(f.log.Snapshot())
+		}},
+		"key revoked": {between: func(f *fixture) {
+			table := proto.CloneOf(f.log.Snapshot().Routes.Table)
+			table.Version++
+			table.Accounts[0].KeySha256 = nil
+			f.appendEvent(&wire.ViewEvent{Body: &wire.ViewEvent_RouteTable{RouteTable: table}})
+		}},
+		"view not confirmed": {between: func(f *fixture) { f.freshness.Store(&view.Freshness{Age: time.Hour}) }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var f *fixture
+			var made atomic.Int32
+			script := func(c net.Conn, r *http.Request) {
+				if made.Add(1) > 1 {
+					if test.second != nil {
+						test.second(c, r)
+					}
+					return
+				}
+				writeStream(c, r, streamType, eventText(1, 3), false)
+				time.Sleep(50 * time.Millisecond) // the router has passed them on
+				if test.between != nil {
+					test.between(f)
+				}
+			}
+			route := forwardRoute(func(r *wire.ForwardRoute) {
+				setResumableStream(r)
+				if test.change != nil {
+					test.change(r)
+				}
+			})
+			f = newFixtureWith(t, func(o *Options) {
+				if test.budget != (RetryBudgetLimits{}) {
+					o.Budget = test.budget
+				}
+			}, route, startBackend(t, script), startBackend(t, script))
+			head, body, complete := splitResponse(f.callRaw())
+			t.Logf("%q", body)
+			is.True(strings.HasPrefix(head, "HTTP/1.1 200"))
+			is.True(strings.HasPrefix(eventText(1, 5), body) && strings.HasPrefix(body, eventText(1, 3)))
+			is.True(!complete)
+		})
+	}
+}
+
+// Guards against the text of an error behind a part of a response, whatever the reason for which the call ends.
+func TestNoErrorIsWrittenIntoAResponse(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(t, forwardRoute(setResumableStream))
+	for _, kind := range []fault.Kind{fault.Internal, fault.Overloaded, fault.AccountLimit, fault.DeadlineExceeded, fault.Quarantined, fault.Shutdown} {
+		w := httptest.NewRecorder()
+		c := &forwardedCall{f: f.f, w: w, route: forwardRoute(setResumableStream), snapshot: f.log.Snapshot(), headerWritten: true}
+		func() {
+			defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+			c.finish(fault.New(kind, fault.Unknown, "test"))
+		}()
+		is.Equal(w.Body.Len(), 0)
+	}
+}
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -57,7 +57,7 @@
 
 // finish counts and logs the call. If the call failed, finish also writes the
 // error response, or aborts the connection if the caller has disconnected or has
-// already received part of a response.
+// already been sent the headers of a response: an error would stand in its body.
 func (c *forwardedCall) finish(err error) {
 	logEntry := c.logEntry()
 	if err == nil {
@@ -73,7 +73,7 @@
 	e := fault.From(err)
 	countCall(c.route, e.Kind.String())
 	event.ForwardedCallFailed(logEntry, err)
-	if errors.Is(err, errAborted) || e.Kind == fault.Cancelled {
+	if c.headerWritten || errors.Is(err, errAborted) || e.Kind == fault.Cancelled {
 		panic(http.ErrAbortHandler)
 	}
 	c.writeError(e)
