gateway: a stream that could not be finished ends without the last chunk

What callers saw: after the error event of the router, the response ended with the last chunk, so that a caller that goes by HTTP alone took the part for the whole. The connection is now closed, as after the head of any other response. The error event stays: the README promises it, and clients of the API go by it; it is the router's own and contains nothing of a backend server's body.

TestStreamBehindAgentGoesOnAtItsSoftware read such responses and expected no error; it now expects the last chunk exactly with `[DONE]`, and failed before.

--- a/internal/gateway/responder.go
+++ b/internal/gateway/responder.go
@@ -143,9 +143,8 @@
 
 // writeError sends err to the caller. Before the head of the response it sends an
 // error response. After the head of a stream it sends an error event and no
-// terminator. After the head of any other response, or if the call was cancelled
-// after the head, it closes the connection, so that the caller can't mistake the
-// partial body for a complete one.
+// terminator. After the head of any response it closes the connection without the
+// last chunk, so that the caller can't mistake the partial body for a complete one.
 func (g *Gateway) writeError(w http.ResponseWriter, r *responder, err error) {
 	e := fault.From(err)
 	if r.status != 0 {
@@ -169,5 +168,5 @@
 		panic(http.ErrAbortHandler)
 	}
 	_ = r.Chunk([]byte("data: " + string(data) + "\n\n"))
-	_ = r.clearDeadline()
+	panic(http.ErrAbortHandler)
 }
