dispatch: an answer that is no event stream does not go on with a stream

What callers saw behind agents: a stream had begun and its engine broke off; the next engine answered with 500, 404, 302, 204, 206 or a 200 of another type, and its body stood in the stream, which ended with `[DONE]`. A first answer in JSON to a request for a stream got `[DONE]` behind it, and a first answer of an error that broke off went on with the events of the next engine. A first error of the type text/event-stream was read as events and failed for want of `[DONE]`.

Cause: the machine took the chunks of any response for the next part of the stream, and the engine client and the gateway looked at the type or at the status alone.

Once the head of a stream was sent, a head that is no event stream (200, text/event-stream) ends its attempt, which is tried elsewhere within the budget. Other answers to requests for a stream are buffered like those to other requests, so that one that breaks off is tried again from its start, and nothing is resumed behind the head of one.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -77,8 +77,9 @@
 	// winner is the attempt whose response is used. It is nil until an attempt
 	// delivers its first chunk or its end.
 	winner *attempt
-	// headSent is set once the head of the response was sent to the caller.
-	headSent bool
+	// headSent is set once the head of the response was sent to the caller, and streaming if that
+	// was the head of an event stream.
+	headSent, streaming bool
 	// buffer holds the body of a buffered response so far.
 	buffer []byte
 	// tokens is the number of output tokens sent to the caller.
@@ -200,9 +201,19 @@
 	if a == nil || a.state != running || a.head != nil {
 		return
 	}
+	if m.headSent && !(m.streaming && ev.Head.isEventStream()) {
+		// The body would stand in the middle of the stream, and its end would complete the stream.
+		m.cancel(a)
+		m.endAttempt(a, fault.New(fault.StreamBroken, fault.Unknown, "an answer of status %d does not go on with the stream", ev.Head.Status))
+		return
+	}
 	a.head = &ev.Head
 }
 
+// streams reports whether the response of a is forwarded as it arrives. Other responses to requests
+// for a stream, such as errors, are buffered.
+func (m *Machine) streams(a *attempt) bool { return m.req.Stream && a.head.isEventStream() }
+
 func (m *Machine) chunkReceived(ev ChunkReceived) {
 	a := m.attempt(ev.Attempt)
 	if a == nil || a.state != running || ev.Sequence < a.nextSequence || (m.winner != nil && m.winner != a) {
@@ -241,7 +252,7 @@
 }
 
 func (m *Machine) forward(a *attempt, ev ChunkReceived) {
-	if !m.req.Stream && !m.headSent {
+	if !m.streams(a) && !m.headSent {
 		m.buffer = append(m.buffer, ev.Data...)
 		if len(m.buffer) <= MaxBufferedBytes {
 			return
@@ -260,7 +271,7 @@
 	if m.headSent {
 		return
 	}
-	m.headSent, m.softwareVersion = true, a.softwareVersion
+	m.headSent, m.streaming, m.softwareVersion = true, m.streams(a), a.softwareVersion
 	m.emit(SendHead{Head: *a.head, Backend: a.backend, ContentLength: length})
 }
 
@@ -275,7 +286,7 @@
 	}
 	m.selectWinner(a)
 	a.state = ended
-	if m.req.Stream {
+	if m.streams(a) {
 		m.sendHead(a, -1)
 	} else if !m.headSent {
 		m.sendHead(a, int64(len(m.buffer)))
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -60,7 +60,12 @@
 	return Launched{Attempt: attempt, Backend: backend, WeightsVersion: "w1"}
 }
 
-func headOf(attempt uint32) Event { return HeadReceived{attempt, Head{Status: 200}} }
+func headOf(attempt uint32) Event {
+	return HeadReceived{attempt, Head{Status: 200, Headers: []Header{{"Content-Type", []string{"text/event-stream"}}}}}
+}
+
+// plainHeadOf is the head of a response that is no event stream.
+func plainHeadOf(attempt, status uint32) Event { return HeadReceived{attempt, Head{Status: status}} }
 
 func chunkOf(attempt uint32, seq uint64, data string) Event {
 	return ChunkReceived{Attempt: attempt, Sequence: seq, Data: []byte(data), Tokens: seq}
@@ -126,6 +131,27 @@
 			{ChunkReceived{Attempt: 2, Sequence: 1, Data: []byte("y"), Tokens: 2}, 0, "send y"},
 			{EndReceived{2, 1}, 0, "clear crash; complete"},
 		}},
+		"error in mid-stream is no part of the stream": {stream, []step{
+			{launchedOn(1, backendA), 0, ""}, {headOf(1), 0, ""},
+			{chunkOf(1, 1, "x"), 0, "head 200 a -1; send x"},
+			{failedWith(1, fault.StreamBroken, fault.Unknown), 0, "launch 2@1 not[a]"},
+			{launchedOn(2, backendB), 0, ""}, {plainHeadOf(2, 500), 0, "cancel 2; launch 3@1 not[a b]"},
+			{chunkOf(2, 1, "error"), 0, ""}, {EndReceived{2, 1}, 0, ""},
+			{launchedOn(3, "c"), 0, ""}, {plainHeadOf(3, 200), 0, "cancel 3; launch 4@1 not[a b c]"},
+			{launchedOn(4, "d"), 0, ""}, {plainHeadOf(4, 204), 0, "cancel 4; fail stream_broken unknown"},
+		}},
+		"error instead of a stream is buffered": {stream, []step{
+			{launchedOn(1, backendA), 0, ""}, {plainHeadOf(1, 500), 0, ""},
+			{chunkOf(1, 1, "er"), 0, ""}, {chunkOf(1, 2, "ror"), 0, ""},
+			{EndReceived{1, 2}, 0, "head 500 a 5; send error; complete"},
+		}},
+		"error instead of a stream that breaks off is retried from the start": {stream, []step{
+			{launchedOn(1, backendA), 0, ""}, {plainHeadOf(1, 500), 0, ""},
+			{chunkOf(1, 1, "er"), 0, ""},
+			{failedWith(1, fault.StreamBroken, fault.Unknown), 0, "launch 2@0 not[a]"},
+			{launchedOn(2, backendB), 0, ""}, {headOf(2), 0, ""},
+			{chunkOf(2, 1, "x"), 0, "head 200 b -1; send x"},
+		}},
 		"second crash quarantines the request": {buffered, []step{
 			{launchedOn(1, backendA), 0, ""},
 			{failedWith(1, fault.BackendCrashed, fault.Unknown), 0, "crash 1 at a"},
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -109,7 +109,7 @@
 	if !m.req.Idempotent && m.mayHaveRun {
 		return false
 	}
-	if m.headSent && !m.req.Resumable {
+	if m.headSent && !(m.req.Resumable && m.streaming) {
 		return false
 	}
 	return m.budget.Withdraw(m.req.Account, a.backend)
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"net/http"
+	"strings"
 	"time"
 
 	"parsleypulley/internal/fault"
@@ -12,6 +14,16 @@
 	Headers []Header
 }
 
+// isEventStream reports whether a response is a stream of server-sent events.
+func (h *Head) isEventStream() bool {
+	for _, header := range h.Headers {
+		if header.Name == "Content-Type" {
+			return h.Status == http.StatusOK && len(header.Values) > 0 && strings.HasPrefix(header.Values[0], "text/event-stream")
+		}
+	}
+	return false
+}
+
 // Header is one header field.
 type Header struct {
 	Name   string
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -72,7 +72,7 @@
 		}
 	}
 	r.outputTokens = parseUint(header.Get(dialect.OutputTokens), 64)
-	if req.Stream && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream") {
+	if req.Stream && r.resp.StatusCode == http.StatusOK && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream") {
 		r.reader = readerPool.Get().(*bufio.Reader)
 		r.reader.Reset(r.resp.Body)
 		r.events = newEventReader(r.reader, r.limits.EventBytes)
--- a/internal/gateway/responder.go
+++ b/internal/gateway/responder.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"parsleypulley/internal/fault"
@@ -65,7 +66,7 @@
 		header.Set("Content-Length", strconv.FormatInt(h.ContentLength, 10))
 	}
 	r.status = h.Status
-	r.sse = r.stream && h.Status == http.StatusOK
+	r.sse = r.stream && h.Status == http.StatusOK && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 	r.w.WriteHeader(h.Status)
 	return nil
 }
