engine: the first event of a stream that goes on has an ID

What callers saw behind agents: an engine that was asked to go on with a stream and began it anew, with events without IDs, repeated the events that the caller had; an error event without an ID became the last event of the stream, which ended with `[DONE]`. Cause: an event without an ID counts as the next token. It still does, but not as the first one of an attempt that goes on.

--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -35,6 +35,8 @@
 	// tokens is the number of output tokens up to the last event of a stream,
 	// including those of earlier attempts.
 	tokens uint64
+	// resuming is set until an event has shown that a stream goes on where the last attempt ended.
+	resuming bool
 	// outputTokens is the number of output tokens that the response header states.
 	outputTokens uint64
 	// buffer is the buffer for the next part of a body that is not a stream.
@@ -72,6 +74,7 @@
 		}
 	}
 	r.outputTokens = parseUint(header.Get(dialect.OutputTokens), 64)
+	r.resuming = req.ResumeOffset > 0
 	if req.Stream && r.resp.StatusCode == http.StatusOK && strings.HasPrefix(header.Get("Content-Type"), "text/event-stream") {
 		r.reader = readerPool.Get().(*bufio.Reader)
 		r.reader.Reset(r.resp.Body)
@@ -154,8 +157,12 @@
 
 // advance sets the output position to the one in an event ID. The ID must belong to
 // this response, and the position must grow by one. An event without an ID counts
-// as one token.
+// as one token, but not as the first event of a stream that goes on: an engine that
+// begins it anew would not be noticed.
 func (r *httpResponse) advance(id []byte) error {
+	if len(id) == 0 && r.resuming {
+		return fault.New(fault.StreamBroken, fault.Unknown, "the event after position %d has no ID", r.tokens)
+	}
 	if len(id) == 0 {
 		r.tokens++
 		return nil
@@ -171,7 +178,7 @@
 	if n != r.tokens+1 {
 		return fault.New(fault.StreamBroken, fault.Unknown, "event %q follows position %d", id, r.tokens)
 	}
-	r.tokens = n
+	r.tokens, r.resuming = n, false
 	return nil
 }
 
--- a/internal/router/brokenstream_test.go
+++ b/internal/router/brokenstream_test.go
@@ -87,21 +87,27 @@
 		status int
 		body   string
 	}{
-		"goes on":                  {begin, rest, 200, whole + "data: [DONE]\n\n"},
-		"500":                      {begin, respond(500, "application/json", document), 200, ""},
-		"500 without a body":       {begin, respond(500, "", ""), 200, ""},
-		"500 like events":          {begin, respond(500, "text/event-stream", "data: 4\n\ndata: [DONE]\n\n"), 200, ""},
-		"404":                      {begin, respond(404, "text/plain", "none\n\n"), 200, ""},
-		"302":                      {begin, respond(302, "", ""), 200, ""},
-		"204":                      {begin, respond(204, "", ""), 200, ""},
-		"206":                      {begin, respond(206, "text/event-stream", "data: 4\n\n"), 200, ""},
-		"200, JSON":                {begin, respond(200, "application/json", document), 200, ""},
-		"200, no events":           {begin, respond(200, "text/event-stream", ""), 200, ""},
-		"200, length 0":            {begin, respond(200, "", ""), 200, ""},
-		"200, page":                {begin, respond(200, "text/html", "<p>\n\n"), 200, ""},
-		"first event again":        {begin, func(w http.ResponseWriter, r *http.Request) { events(w, r, 1, 5, true); end(w) }, 200, ""},
-		"last event again":         {begin, func(w http.ResponseWriter, r *http.Request) { events(w, r, 3, 5, true); end(w) }, 200, ""},
-		"event skipped":            {begin, func(w http.ResponseWriter, r *http.Request) { events(w, r, 5, 5, true); end(w) }, 200, ""},
+		"goes on":                   {begin, rest, 200, whole + "data: [DONE]\n\n"},
+		"500":                       {begin, respond(500, "application/json", document), 200, ""},
+		"500 without a body":        {begin, respond(500, "", ""), 200, ""},
+		"500 like events":           {begin, respond(500, "text/event-stream", "data: 4\n\ndata: [DONE]\n\n"), 200, ""},
+		"404":                       {begin, respond(404, "text/plain", "none\n\n"), 200, ""},
+		"302":                       {begin, respond(302, "", ""), 200, ""},
+		"204":                       {begin, respond(204, "", ""), 200, ""},
+		"206":                       {begin, respond(206, "text/event-stream", "data: 4\n\n"), 200, ""},
+		"200, JSON":                 {begin, respond(200, "application/json", document), 200, ""},
+		"200, no events":            {begin, respond(200, "text/event-stream", ""), 200, ""},
+		"200, length 0":             {begin, respond(200, "", ""), 200, ""},
+		"200, page":                 {begin, respond(200, "text/html", "<p>\n\n"), 200, ""},
+		"first event again":         {begin, func(w http.ResponseWriter, r *http.Request) { events(w, r, 1, 5, true); end(w) }, 200, ""},
+		"first event again, no IDs": {begin, func(w http.ResponseWriter, r *http.Request) { events(w, r, 1, 5, false); end(w) }, 200, ""},
+		"last event again":          {begin, func(w http.ResponseWriter, r *http.Request) { events(w, r, 3, 5, true); end(w) }, 200, ""},
+		"event skipped":             {begin, func(w http.ResponseWriter, r *http.Request) { events(w, r, 5, 5, true); end(w) }, 200, ""},
+		"error event": {begin, func(w http.ResponseWriter, r *http.Request) {
+			events(w, r, 4, 3, true)
+			fmt.Fprint(w, "data: "+document+"\n\n")
+			end(w)
+		}, 200, ""},
 		"nothing":                  {begin, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 200, ""},
 		"first answer is JSON":     {respond(200, "application/json", document), nil, 200, document},
 		"first answer is an error": {respond(500, "application/json", document), nil, 500, document},
