forward: a success that is no event stream is no answer on a stream route

What callers could see since an answer that is no event stream is forwarded as it is: a 2xx without any event (204, 205, a page of another type), complete, where a stream was due, also as the rest of a stream that they take up. A stream must not end as complete before its last piece. Such answers are failed attempts again, as those without a blank line were before; 3xx and 4xx are still forwarded as they are.

Its cases of a 200 expected the page or the JSON document until now; they expect 502, after an attempt at both servers.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -159,11 +159,11 @@
 	c.watched.wait(headAt)
 	attemptLatency.head.Record(headAt, headAt.Sub(now))
 	outcome := classifyResponse(resp)
-	if outcome == 0 && c.headerWritten && !isEventStream(resp) {
-		outcome = notContinued(resp)
+	if outcome == 0 && c.route.GetStream() && !isEventStream(resp) {
+		outcome = noStreamOutcome(resp, c.headerWritten)
 	}
 	switch {
-	case outcome == 0 && c.route.GetStream() && isEventStream(resp):
+	case outcome == 0 && isEventStream(resp) && c.route.GetStream():
 		c.quota.Spend()
 		return c.forwardStream(d, resp)
 	case !c.headerWritten && (outcome == 0 || outcome == Failed):
--- a/internal/forward/continuation.go
+++ b/internal/forward/continuation.go
@@ -16,14 +16,17 @@
 	return contentType == "" || mediaType == "text/event-stream"
 }
 
-// notContinued returns the outcome of an attempt to go on with a stream whose response shows no
-// failure but is no event stream either. The caller gets nothing of it: it would stand in the middle
-// of the stream.
-func notContinued(r *response) Outcome {
-	if r.status < http.StatusMultipleChoices {
+// noStreamOutcome returns the outcome of an attempt on a streaming route whose response shows no failure
+// but is no event stream, or 0 if the caller gets the response. A success would look like a complete
+// stream. Once headers were sent, anything would stand in the middle of the stream.
+func noStreamOutcome(r *response, headersSent bool) Outcome {
+	switch {
+	case r.status < http.StatusMultipleChoices:
 		return InvalidResponse
+	case headersSent:
+		return Failed
 	}
-	return Failed
+	return 0
 }
 
 // endsStream reports whether a response without events says that the stream has none left after the
