--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -158,7 +158,7 @@
 		Remaining:          c.Deadline.Sub(now),
 		CacheSalt:          c.versionedSalt(d.WeightsVersion),
 		Urgency:            urgencyOf(c.route, c.account),
-		LastEventID:        c.lastEventID,
+		LastEventID:        c.position.lastID,
 		WeightsVersion:     d.WeightsVersion,
 	})
 	if header.Get("User-Agent") == "" {
@@ -173,11 +173,14 @@
 	c.watched.wait(headAt)
 	attemptLatency.head.Record(headAt, headAt.Sub(now))
 	outcome := classifyResponse(resp)
+	if outcome == 0 && c.route.GetStream() && !isEventStream(resp) {
+		outcome = noStreamOutcome(resp, c.headerWritten)
+	}
 	switch {
-	case outcome == 0 && c.route.GetStream():
+	case outcome == 0 && isEventStream(resp) && c.route.GetStream():
 		c.quota.Spend()
 		return c.forwardStream(d, resp)
-	case outcome == 0 || outcome == Failed:
+	case !c.headerWritten && (outcome == 0 || outcome == Failed):
 		c.quota.Spend()
 		return c.forwardResponse(d, resp, outcome)
 	}
@@ -185,7 +188,7 @@
 		return resp.refuse(outcome), Step{}
 	}
 	resp.discard()
-	return &failure{outcome, fmt.Errorf("status %d", resp.status)}, Step{}
+	return &failure{outcome, fmt.Errorf("status %d, type %q", resp.status, resp.header.Get("Content-Type"))}, Step{}
 }
 
 // classifyResponse returns the outcome that the status and the headers of a
@@ -225,8 +228,9 @@
 
 // forwardResponse forwards a non-streaming response. It buffers up to
 // maxBufferedBody bytes before it writes anything, so that a response cut off
-// within them can still be retried.
+// within them can still be retried. It must not be called once the caller has been sent headers.
 func (c *forwardedCall) forwardResponse(d *routing.Decision, r *response, outcome Outcome) (*failure, Step) {
+	c.watched.expectNoEvents()
 	if outcome == Failed {
 		now := time.Now()
 		step := c.Next(now, Failed, func() bool { return c.f.selector.tryRetry(c.service) })
@@ -321,14 +325,16 @@
 // result is as for runAttempt.
 func (c *forwardedCall) forwardStream(d *routing.Decision, r *response) (*failure, Step) {
 	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer)}
-	// A stream that goes on after the last event that the caller has may have none left.
-	resumed := c.headerWritten && c.lastEventID != ""
 	started := false
+	c.position.beginAttempt(c.headerWritten)
 	var gaps routing.GapSampler
 	defer func() { c.f.selector.eventGap(d, gaps.End()) }()
 	for {
 		event, id, err := events.next()
-		if errors.Is(err, io.EOF) && (started || resumed) {
+		if errors.Is(err, io.EOF) && (started || c.endsStream(r)) {
+			if !c.headerWritten {
+				c.writeHeader(r, -1)
+			}
 			r.close(true)
 			c.f.selector.finished(d)
 			c.answered(r)
@@ -339,6 +345,12 @@
 			return &failure{InvalidResponse, withCause(c.ctx, err)}, Step{}
 		}
 		progress := hasData(event)
+		if c.route.GetResumable() {
+			if err := c.position.check(event, id, progress); err != nil {
+				r.close(false)
+				return &failure{InvalidResponse, fmt.Errorf("%w: %.40q after %.40q", err, id, c.position.lastID)}, Step{}
+			}
+		}
 		now := time.Now()
 		if progress {
 			c.watched.eventArrived(now)
@@ -365,9 +377,8 @@
 			c.f.selector.failed(d, fault.Cancelled)
 			return nil, Step{Err: fault.New(fault.Cancelled, fault.Ran, "the caller has left: %w", err)}
 		}
-		if id != "" {
-			c.lastEventID = id
-		}
+		c.position.sent(event, id, progress)
+		c.Resumable = c.route.GetResumable() && !c.position.unknown
 		c.refreshRecord(time.Now())
 		if progress {
 			c.f.selector.eventGap(d, gaps.Event(now))
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -84,7 +84,7 @@
 
 // finish counts and logs the call, which ends as end. If the call failed, finish also writes the
 // error response, or aborts the connection if the caller has disconnected or has
-// already received part of a response.
+// already been sent the headers of a response: an error would stand in its body.
 func (c *forwardedCall) finish(err error, end callEnd) {
 	logEntry := c.logEntry()
 	if err == nil {
@@ -103,7 +103,7 @@
 	e := fault.From(err)
 	countCall(c.route, e.Kind.String())
 	event.ForwardedCallFailed(logEntry, err)
-	if errors.Is(err, errAborted) || e.Kind == fault.Cancelled {
+	if c.headerWritten || errors.Is(err, errAborted) || e.Kind == fault.Cancelled {
 		panic(http.ErrAbortHandler)
 	}
 	c.writeError(e)
