Heartbeats that name no usable server are refused with 400

What callers saw: a heartbeat with port 0, 0.0.0.0, a multicast address or an IPv6 zone, with a name of 129 bytes, a line break or bytes that are not UTF-8, a software version of 60 KiB, 65 models, 2^32-1 slots or "born" of 2^53 was acknowledged with 200 (a name that is not UTF-8 with 503 at replicas that do not lead). One with the name of a valid server and a later "born" kept that server out: its own heartbeats counted as those of an earlier incarnation and were acknowledged, but had no effect.

Cause: the heartbeat API checked types and the syntax of the address only. ValidateBackend refuses more, but it is called by the failure detector, which then ignored the announcement without telling anybody.

Evidence: TestInvalidHeartbeatsStopNothing sends a table of invalid heartbeats to three real VMs beside valid ones. No process ended, and JSON nested 30,000 levels deep was refused already.

Fix: the API checks an announcement completely (membership.CheckAnnounced) before it is replicated. ValidateBackend stays as it is, because replicas of different versions must decide alike. A member that was accepted earlier is refused at its next heartbeat and its lease expires. Refusals are logged once in 10 s with at most 160 bytes of the name and the error; before, each one was a line of up to 64 KiB.

--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -232,6 +232,17 @@
 	log.WithFields(log.Fields{"shed": shed, "behind_ms": behind.Milliseconds()}).Warn("heartbeats shed")
 }
 
+// maxForeignText limits the parts of an invalid message that are logged.
+const maxForeignText = 160
+
+// HeartbeatsRefused logs how many heartbeats were refused since the last such line because they
+// name no usable backend server, with the name and the error of the newest one.
+func HeartbeatsRefused(refused int, backend string, err error) {
+	text := errorText(err)
+	log.WithFields(log.Fields{"refused": refused, "backend": backend[:min(len(backend), maxForeignText)],
+		"error": text[:min(len(text), maxForeignText)]}).Warn("heartbeats of backend servers refused")
+}
+
 // ControlResponseUndelivered logs that control could not write a response to its
 // caller.
 func ControlResponseUndelivered(call string, err error) {
--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -1,9 +1,13 @@
 package membership
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
+	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"parsleypulley/internal/wire"
 )
@@ -15,6 +19,72 @@
 	maxAdapters     = 256
 )
 
+// maxRunningBound is the largest number of concurrent requests that a backend server may
+// announce, as many as there are ports for connections from one VM. Routers would send all
+// calls to a server with a larger number.
+const maxRunningBound = 1 << 16
+
+// CheckAnnounced returns the first problem of a backend server without an agent that
+// announces itself, or nil if routers can use it. It is stricter than ValidateBackend, which
+// must decide alike at all replicas, also of other versions, and on entries that are in the
+// log already.
+func CheckAnnounced(b *wire.Backend) error {
+	if problem := ValidateBackend(b); problem != "" {
+		return errors.New(problem)
+	}
+	if b.GetName() != strings.TrimSpace(b.GetName()) {
+		return errors.New("the name begins or ends with a space")
+	}
+	names := []string{b.GetName(), b.GetService(), b.GetFailureDomain(), b.GetRegion(), b.GetSoftwareVersion()}
+	for _, m := range b.GetModels() {
+		if m.GetModel() == "" {
+			return errors.New("a model has no name")
+		}
+		names = append(names, m.GetModel(), m.GetWeightsVersion())
+	}
+	for _, name := range names {
+		if err := checkText(name); err != nil {
+			return err
+		}
+	}
+	if b.GetMaxRunning() > maxRunningBound {
+		return fmt.Errorf("%d concurrent requests are over the limit of %d", b.GetMaxRunning(), maxRunningBound)
+	}
+	return checkReachable(b.GetAddress())
+}
+
+// checkText returns an error if a name can't be sent in a protobuf message or a header. Such
+// a name would fail the whole message that contains it.
+func checkText(name string) error {
+	if len(name) > maxNameBytes {
+		return fmt.Errorf("a name has %d bytes, more than %d", len(name), maxNameBytes)
+	}
+	for _, r := range name {
+		if r == utf8.RuneError || !unicode.IsPrint(r) {
+			return fmt.Errorf("name %q has an invalid or a control character", name)
+		}
+	}
+	return nil
+}
+
+// checkReachable returns an error if no server of another VM can have the address.
+func checkReachable(address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("address %q is not ip:port", address)
+	}
+	ip := a.Addr().Unmap()
+	switch {
+	case a.Port() == 0:
+		return fmt.Errorf("address %q has no port", address)
+	case ip.Zone() != "" || ip.Is6() && ip.IsLinkLocalUnicast():
+		return fmt.Errorf("address %q is valid on one network only", address)
+	case ip.IsUnspecified() || ip.IsMulticast() || ip == netip.AddrFrom4([4]byte{255, 255, 255, 255}):
+		return fmt.Errorf("address %q is not that of one machine", address)
+	}
+	return nil
+}
+
 // ValidateBackend returns a description of the first problem in an announced
 // backend server, or an empty string if it is valid.
 func ValidateBackend(b *wire.Backend) string {
