control: an announcement that can't be marshalled fails alone

What callers saw: at a process that had just started and had no view yet, one heartbeat with a name that is not UTF-8 failed all heartbeats of its batch, up to 256, with 503.

Cause: without a view any announcement may wait for others, and protobuf refuses a whole message if one of its strings is not UTF-8.

Fix: an announcement that CheckAnnounced refuses never waits for others. The heartbeat API refuses it before; this check covers other callers of Announce.

--- a/internal/control/announcebatch.go
+++ b/internal/control/announcebatch.go
@@ -10,6 +10,7 @@
 
 	"parsleypulley/internal/consensus"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/membership"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -44,8 +45,12 @@
 }
 
 // mayWait reports whether an announcement may wait for others. A process that has just started
-// has no view; the leader then decides.
+// has no view; the leader then decides. An invalid announcement goes alone: one that can't be
+// marshalled would fail its batch.
 func mayWait(snapshot *view.Snapshot, announce *wire.Announce) bool {
+	if membership.CheckAnnounced(announce.GetBackend()) != nil {
+		return false
+	}
 	return changesNothing(snapshot, announce) || snapshot.Version == 0 && !announce.GetLeaving()
 }
 
--- a/internal/control/announcebatch_test.go
+++ b/internal/control/announcebatch_test.go
@@ -315,3 +315,47 @@
 		}
 	}
 }
+
+// Guards against one announcement that no message can hold and that fails all others of its batch. A
+// process that has just started takes any announcement into a batch.
+func TestInvalidAnnouncementFailsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sent := &sentAnnounces{}
+		b := sent.batcher(view.NewLog(view.DefaultLogLimits()))
+		marshalled := func(m proto.Message) error {
+			if _, err := proto.Marshal(m); err != nil {
+				return fault.New(fault.Internal, fault.NotRun, "encode message: %w", err)
+			}
+			return nil
+		}
+		many, one := b.many, b.one
+		b.many = func(ctx context.Context, batch *wire.AnnounceBatch) (*wire.AnnounceBatchReply, error) {
+			if err := marshalled(batch); err != nil {
+				return nil, err
+			}
+			return many(ctx, batch)
+		}
+		b.one = func(ctx context.Context, a *wire.Announce) error { return errors.Join(marshalled(a), one(ctx, a)) }
+		const servers = 100
+		for i := range minBatchedAnnounces { // from here on they are collected
+			is.NoErr(b.forward(t.Context(), &wire.Announce{Backend: plainServer(i), Sequence: 1}))
+		}
+		results := make([]error, servers)
+		var group sync.WaitGroup
+		for i := range servers {
+			group.Go(func() {
+				server := plainServer(i)
+				if i == servers/2 {
+					server.Name = "odd\xff"
+				}
+				results[i] = b.forward(t.Context(), &wire.Announce{Backend: server, Sequence: 1})
+			})
+		}
+		group.Wait()
+		is.True(sent.batches > 0)
+		for i, err := range results {
+			is.Equal(err != nil, i == servers/2) // only the invalid announcement fails
+		}
+	})
+}
