crashreport: a request ID that is not UTF-8 does not fail a batch

What callers saw: nothing at first. When an engine ended under a call whose X-Request-Id has a byte from 0x80 on, which headers may have, the crashes under all calls of the same batch (5 ms, up to 512 reports) were not counted, so that a call or prompt part that ends engines came again at other routers. A caller could keep its own crashing call from the quarantine of the other routers that way.

Cause: the ID is a protobuf string, and a command with an invalid one can't be marshalled. It is the same cause as that of invalid names in heartbeats. Requests through gateways have IDs of printable ASCII only.

Evidence: TestReportWithAnInvalidRequestIDIsCounted; before: none of 25 reports counted, "0 != 1" commands.

Fix: the bytes that are not UTF-8 are replaced when a report is taken. The ID is only logged.

--- a/internal/crashreport/reporter.go
+++ b/internal/crashreport/reporter.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -210,6 +211,10 @@
 // join adds reports to the batch that is gathered. It returns the batch, the index of the
 // first report, and how many crashes this router has seen under its request.
 func (r *Reporter) join(reports []*wire.CrashReport) (b *batch, first, own int) {
+	for _, report := range reports {
+		// Callers choose the ID. One that is not UTF-8 can't be marshalled and would fail the batch.
+		report.RequestId = strings.ToValidUTF8(report.GetRequestId(), "?")
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if report := reports[0]; report.GetBackend() != "" && !quarantine.IsPart(report.GetFingerprint()) {
