control: sources of cache events that do not wait are asked with pauses

What callers saw: the leader took as much processor time as there was for one engine or store that answers a request for cache events at once without new events, as with the body {}, or with a position that does not move. The engines of the real-process tests, which have no cache events, were such sources.

Cause: the next request followed each answer at once; only failed requests were followed by a pause. The wait of 800 ms was left to the source.

Evidence: TestSourceWithoutProgressIsNotAskedWithoutPause; before: 1000 requests (the limit of the test) within no virtual time, for each of five answers. Now at most 25 in 10 s.

Fix: an answer that came before the wait was over, and did not advance the position, is followed by the pause of a failed request (500 ms).

--- a/internal/control/cache_tracker.go
+++ b/internal/control/cache_tracker.go
@@ -21,7 +21,8 @@
 	eventsPollWait = 800 * time.Millisecond
 	// eventsTimeout bounds a whole request for cache events.
 	eventsTimeout = 2 * time.Second
-	// eventsRetryDelay is the delay after a failed request.
+	// eventsRetryDelay is the delay after a failed request, and after an answer that came
+	// early and brought nothing new.
 	eventsRetryDelay = 500 * time.Millisecond
 	// minPartTokens is the minimum length of a part of a prompt that is reported to
 	// routers as cached.
@@ -60,8 +61,9 @@
 }
 
 // apply applies a batch of events. After a gap or a restart of the source, earlier
-// parts are dropped because their state is unknown.
-func (c *sourceCache) apply(batch *fleet.CacheEvents) {
+// parts are dropped because their state is unknown. apply reports whether the position in the
+// events has advanced.
+func (c *sourceCache) apply(batch *fleet.CacheEvents) (advanced bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if batch.Epoch != c.epoch || batch.Lost {
@@ -79,7 +81,9 @@
 	if len(c.parts) > maxPartsPerSource {
 		c.parts = map[uint64]uint64{} // filled again by later events
 	}
+	advanced = batch.Next > c.next
 	c.next = batch.Next
+	return advanced
 }
 
 // newest returns the keys of at most n parts, most recently stored first.
@@ -135,17 +139,22 @@
 func (t *cacheTracker) run(ctx context.Context, source fleet.CacheSource, cache *sourceCache) {
 	failing := false
 	for ctx.Err() == nil {
+		asked, advanced := time.Now(), false
 		callCtx, cancel := context.WithTimeout(ctx, eventsTimeout)
 		err := recovery.Call("cache events", func() error {
 			batch, err := t.engines.Events(callCtx, source, cache.next, eventsPollWait)
 			if err == nil {
-				cache.apply(batch)
+				advanced = cache.apply(batch)
 			}
 			return err
 		})
 		cancel()
 		if err == nil {
 			failing = false
+			if !advanced && time.Since(asked) < eventsPollWait {
+				// A source that does not wait would be asked again without end.
+				backoff.Sleep(ctx, eventsRetryDelay)
+			}
 			continue
 		}
 		if !failing && ctx.Err() == nil {
--- a/internal/control/cache_tracker_test.go
+++ b/internal/control/cache_tracker_test.go
@@ -1,7 +1,11 @@
 package control
 
 import (
+	"context"
+	"math"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -67,3 +71,46 @@
 	d, _ = tracker.Digest()
 	is.Equal(d.GetTerm(), uint64(4))
 }
+
+// sourceAnswering answers each request for cache events at once with the same batch, and ends the test
+// after maxCalls.
+type sourceAnswering struct {
+	batch           *fleet.CacheEvents
+	calls, maxCalls int
+	cancel          context.CancelFunc
+}
+
+func (s *sourceAnswering) Report(context.Context, *wire.Backend) (*fleet.EngineReport, error) {
+	return &fleet.EngineReport{}, nil
+}
+func (s *sourceAnswering) Order(context.Context, *fleet.LoadOrder) error { return nil }
+func (s *sourceAnswering) Events(context.Context, fleet.CacheSource, uint64, time.Duration) (*fleet.CacheEvents, error) {
+	if s.calls++; s.calls >= s.maxCalls {
+		s.cancel()
+	}
+	return s.batch, nil
+}
+
+// Guards against a source of cache events that does not wait, or whose position does not move, and that
+// the leader asks again without a pause: it took as much processor time as there was.
+func TestSourceWithoutProgressIsNotAskedWithoutPause(t *testing.T) {
+	for name, batch := range map[string]*fleet.CacheEvents{
+		"no fields":            {},
+		"the same events":      {Epoch: 1, Next: 3, Events: []fleet.CacheEvent{storedEvent(1), storedEvent(2)}},
+		"lost at all times":    {Epoch: 1, Next: 3, Lost: true},
+		"position of 64 bits":  {Epoch: 1, Next: math.MaxUint64},
+		"position that is old": {Epoch: 2, Events: []fleet.CacheEvent{storedEvent(1)}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				source := &sourceAnswering{batch: batch, maxCalls: 1000, cancel: cancel}
+				newCacheTracker(source).run(ctx, fleet.CacheSource{Address: "10.0.0.1:80"}, &sourceCache{parts: map[uint64]uint64{}})
+				if source.calls > 25 { // one in eventsRetryDelay, with jitter
+					t.Errorf("%d requests in 10 s", source.calls)
+				}
+			})
+		})
+	}
+}
