platform: an invalid seed in the settings file does not hide the others

What callers saw: one seed that is no string, is null or has no port made the reread of the settings fail as a whole, so that processes did not learn the valid seeds beside it; a log line a second said so. A seed without a port number, with port 0 or with the address 0.0.0.0 was followed. A file without seeds ({}, null) took away the addresses in force.

Fix: each seed is decoded and checked by itself and an invalid one is skipped. If none is left, the previous addresses stay in force.

--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -88,10 +88,10 @@
 	log.WithFields(log.Fields{"reason": trigger, "control": control, "changed": changed}).Info("settings reread")
 }
 
-// SettingsReloadFailed logs that a reload failed; the previous settings stay in
-// force.
-func SettingsReloadFailed(trigger string, err error) {
-	log.WithFields(log.Fields{"reason": trigger, "error": errorText(err)}).Warn("settings were not reread")
+// SettingsReloadFailed logs that the settings can't be used, or only in part. If usable is false,
+// the previous settings stay in force.
+func SettingsReloadFailed(trigger string, usable bool, err error) {
+	log.WithFields(log.Fields{"reason": trigger, "usable": usable, "error": errorText(err)}).Warn("settings were not reread")
 }
 
 // DataFolderDamaged logs that a data folder was corrupt and has been moved aside.
