control: commands and batches that fit into no message are refused or split

What callers saw: a configuration of 8 MiB, the limit of the body, with keys of 20 bytes was answered with 503, and no configuration, heartbeat or other change was committed after it.

Cause: the command holds the declaration and the table, in which each key has 32 bytes, together 20 MiB; a message of a link has at most 16 MiB. The leader took the command into its log, and each message with that entry failed at the sender. Messages to a replica were also collected by number only (128 of 256 KiB each, up to 32 MiB); such a call failed as a whole.

TestCollectedMessagesFitIntoACall, before: "not true: proto.Size(...) < link.MaxMessageBytes".

Fix: a command over 12 MiB is refused before it is proposed (413), which leaves 4 MiB for the rest of a message and for the members in the view. A call takes no further messages once it has 1 MiB.

--- a/internal/control/external.go
+++ b/internal/control/external.go
@@ -73,7 +73,11 @@
 
 // PutRoutes commits a route table.
 func (r *Relay) PutRoutes(ctx context.Context, change *wire.RouteTableChange) (*wire.RouteTableResult, error) {
-	result, err := r.client.Propose(ctx, &wire.Command{Body: &wire.Command_RouteTable{RouteTable: change}})
+	command := &wire.Command{Body: &wire.Command_RouteTable{RouteTable: change}}
+	if err := checkSize(command); err != nil {
+		return nil, err
+	}
+	result, err := r.client.Propose(ctx, command)
 	if err != nil {
 		return nil, err
 	}
@@ -108,6 +112,9 @@
 // proposeAnywhere proposes a command at this replica if it leads, and otherwise forwards
 // the command to the leader.
 func (s *Service) proposeAnywhere(ctx context.Context, command *wire.Command) (*wire.CommandResult, error) {
+	if err := checkSize(command); err != nil {
+		return nil, err
+	}
 	if s.node.Status().Role == consensus.Leader {
 		result, err := Propose(ctx, s.node, command)
 		if !fault.Is(err, fault.NotLeader) {
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -196,8 +196,24 @@
 	}
 }
 
+// maxCommandBytes bounds a command. A log entry that fits into no message stops the replication: the
+// leader sends it again and again, and nothing after it is committed. The view holds most of a command
+// too, beside the members. The difference to the limit of a message is left for them.
+const maxCommandBytes = link.MaxMessageBytes - 4<<20
+
+// checkSize returns an error if a command is too large to be replicated.
+func checkSize(command *wire.Command) error {
+	if n := proto.Size(command); n > maxCommandBytes {
+		return fault.New(fault.BodyTooLarge, fault.NotRun, "command of %d bytes is over the limit of %d", n, maxCommandBytes)
+	}
+	return nil
+}
+
 // Propose commits command through node and returns its result.
 func Propose(ctx context.Context, node *consensus.Node, command *wire.Command) (*wire.CommandResult, error) {
+	if err := checkSize(command); err != nil {
+		return nil, err
+	}
 	data, err := proto.Marshal(command)
 	if err != nil {
 		return nil, fault.New(fault.BadRequest, fault.NotRun, "encode command: %w", err)
--- a/internal/control/transport.go
+++ b/internal/control/transport.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"parsleypulley/internal/recovery"
 	"parsleypulley/internal/wire"
 )
@@ -15,7 +17,10 @@
 	sendQueueLength = 1024
 	// maxBatchMessages bounds the messages in one call.
 	maxBatchMessages = 128
-	sendTimeout      = 2 * time.Second
+	// maxBatchBytes is the size of the entries from which on a call takes no further messages. The
+	// last one may be as large as a command may be; together they fit into a message of a link.
+	maxBatchBytes = 1 << 20
+	sendTimeout   = 2 * time.Second
 	// queueIdleTimeout is the time without a message after which a queue ends.
 	queueIdleTimeout = time.Minute
 )
@@ -94,13 +99,14 @@
 }
 
 // collectBatch returns first and the messages that are already queued, at most
-// maxBatchMessages in total.
+// maxBatchMessages in total. Once they have maxBatchBytes it adds none.
 func collectBatch(first *wire.ConsensusMessage, queue chan *wire.ConsensusMessage) []*wire.ConsensusMessage {
-	batch := []*wire.ConsensusMessage{first}
-	for len(batch) < maxBatchMessages {
+	batch, size := []*wire.ConsensusMessage{first}, proto.Size(first)
+	for len(batch) < maxBatchMessages && size < maxBatchBytes {
 		select {
 		case m := <-queue:
 			batch = append(batch, m)
+			size += proto.Size(m)
 		default:
 			return batch
 		}
--- a/internal/control/transport_test.go
+++ b/internal/control/transport_test.go
@@ -9,7 +9,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
+	"parsleypulley/internal/consensus"
+	"parsleypulley/internal/link"
 	"parsleypulley/internal/wire"
 )
 
@@ -50,3 +53,24 @@
 		is.Equal(caller.calls.Load(), int64(105))
 	})
 }
+
+// Guards against messages that are collected into a call that no link takes: all of them are lost then,
+// and the replication begins anew with the same ones.
+func TestCollectedMessagesFitIntoACall(t *testing.T) {
+	is := is.New(t)
+	queue := make(chan *wire.ConsensusMessage, sendQueueLength)
+	message := func(size int) *wire.ConsensusMessage {
+		return &wire.ConsensusMessage{Entries: []*wire.LogEntry{{Data: make([]byte, size)}}}
+	}
+	for range 127 {
+		queue <- message(consensus.DefaultMaxMessageBytes)
+	}
+	queue <- message(maxCommandBytes)
+	sent := 0
+	for len(queue) > 0 {
+		batch := collectBatch(<-queue, queue)
+		sent += len(batch)
+		is.True(proto.Size(&wire.ConsensusBatch{Messages: batch}) < link.MaxMessageBytes)
+	}
+	is.Equal(sent, 128)
+}
