crashreport: long request IDs do not fail a batch

The header X-Request-Id may have up to 64 KiB and a batch up to 512 reports: together more than a command or a message of a link may have, so that the batch was lost as with an ID that is not UTF-8.

Evidence: TestReportWithAnInvalidRequestIDIsCounted with IDs of 60 KiB; before: "0 != 1" commands.

Fix: a report has the first 256 bytes of the ID, which is only logged.

--- a/internal/crashreport/reporter.go
+++ b/internal/crashreport/reporter.go
@@ -23,6 +23,8 @@
 	// it crashed are gathered into one command, and maxBatch limits their number.
 	batchDelay = 5 * time.Millisecond
 	maxBatch   = 512
+	// maxRequestIDBytes is the part of a call's ID that a report has.
+	maxRequestIDBytes = 256
 	// proposeTimeout limits the attempts to commit reports. It covers an election.
 	proposeTimeout = 10 * time.Second
 	// PartConfirmTime is how long the views must have had the quarantine of a part before it
@@ -212,8 +214,10 @@
 // first report, and how many crashes this router has seen under its request.
 func (r *Reporter) join(reports []*wire.CrashReport) (b *batch, first, own int) {
 	for _, report := range reports {
-		// Callers choose the ID. One that is not UTF-8 can't be marshalled and would fail the batch.
-		report.RequestId = strings.ToValidUTF8(report.GetRequestId(), "?")
+		// Callers choose the ID, which is only logged. One that is not UTF-8 can't be marshalled, and
+		// long ones make the command too large: either would fail the batch.
+		id := report.GetRequestId()
+		report.RequestId = strings.ToValidUTF8(id[:min(len(id), maxRequestIDBytes)], "?")
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
