control: the view goes on after events that it does not take

One command whose events the view refuses left the version of the machine ahead of the view. The events of all later commands were refused then, at all replicas and at each start: processes stopped following the list.

Evidence: TestViewGoesOnAfterEventsThatItDoesNotTake, which sets the version apart; before: "not true: r.apply(joinCommand("c", 1)).GetBackend().GetAccepted()".

Fix: after a command that failed, the machine goes on from the version of the view. A panic of the view is handled like one of the command, and does not end the process.

--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -93,12 +93,17 @@
 	var result *wire.CommandResult
 	// All replicas apply the command, also when they start anew: a panic must not end them. It is
 	// the same at each of them, as they have the same state.
-	if err := recovery.Call("command", func() error { result = m.apply(index, command); return nil }); err != nil {
+	err := recovery.Call("command", func() error {
+		result = m.apply(index, command)
+		if err := m.log.Append(m.events...); err != nil {
+			return fmt.Errorf("append to the view: %w", err)
+		}
+		return nil
+	})
+	if err != nil {
+		m.version = m.log.Version() // the view has none of the events; later ones must join it
 		return m.problem(err.Error())
 	}
-	if err := m.log.Append(m.events...); err != nil {
-		return m.problem(fmt.Sprintf("append to the view: %v", err))
-	}
 	result.ViewVersion = m.version
 	return result
 }
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -306,3 +306,15 @@
 	r.members = members
 	is.True(r.apply(joinCommand("a", 2)).GetBackend().GetAccepted())
 }
+
+// Guards against one command whose events the view does not take and after which the view stood still for
+// good: its version fell behind the one that the machine gave to the next events.
+func TestViewGoesOnAfterEventsThatItDoesNotTake(t *testing.T) {
+	is := is.New(t)
+	r := newReplica()
+	is.True(r.apply(joinCommand("a", 1)).GetBackend().GetAccepted())
+	r.version += 3 // the events of the next command do not join
+	is.True(r.apply(joinCommand("b", 1)).GetProblem() != "")
+	is.True(r.apply(joinCommand("c", 1)).GetBackend().GetAccepted())
+	is.True(r.Log().Snapshot().Member("c") != nil)
+}
