router: headers that are not UTF-8 are forwarded between processes

What callers saw (services behind agents): a call with a header such as Latin-1 text, which HTTP allows, got 500, as did one with such an Idempotency-Key or query. A response with such a header could not be sent to the router, or stored for a call that runs at most once.

Cause: the values were protobuf strings, and a message with one that is not UTF-8 can't be marshalled. Chat calls forward no headers of the caller; the route path sends none in messages.

Fix: Header.values is bytes, which is encoded like a string. A process of an earlier version refuses a message with such a value, as before. In stored answers, which are in the replicated log, the bytes are replaced, since replicas of earlier versions must read them. An Idempotency-Key or a target that is not UTF-8 is refused with 400 by the gateway: it is part of the record of the call.

Changed tests: TestPlainServiceCall, FuzzAgentResponse and a benchmark build headers with wire.NewHeader.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -78,8 +78,8 @@
 	is := is.New(t)
 	h := newHarness(t, standin.Options{Kind: standin.KindService}, nil)
 	d := booking("r1", "k1", 7, "sample 12", h.agent.Incarnation())
-	d.Headers = []*wire.Header{{Name: "X-Farm", Values: []string{"a", "b"}}, {Name: "Connection", Values: []string{"X-Hop"}},
-		{Name: "X-Hop", Values: []string{"1"}}, {Name: "Authorization", Values: []string{"Bearer secret"}}}
+	d.Headers = []*wire.Header{wire.NewHeader("X-Farm", "a", "b"), wire.NewHeader("Connection", "X-Hop"),
+		wire.NewHeader("X-Hop", "1"), wire.NewHeader("Authorization", "Bearer secret")}
 	r, err := h.do(context.Background(), d)
 	is.NoErr(err)
 	var echo standin.Echo
--- a/internal/agent/bench_test.go
+++ b/internal/agent/bench_test.go
@@ -126,7 +126,7 @@
 	return &wire.Dispatch{
 		RequestId: id, Attempt: 1, Account: "indus", Model: testModel, WeightsVersion: testVersion, CacheSalt: "salt-indus",
 		Idempotent: true, Method: http.MethodPost, Path: "/v1/chat/completions",
-		Headers: []*wire.Header{{Name: "Content-Type", Values: []string{"application/json"}}},
+		Headers: []*wire.Header{wire.NewHeader("Content-Type", "application/json")},
 		Body:    chatBody(prompt, tokens, stream), Stream: stream,
 	}
 }
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -95,7 +95,7 @@
 	headers := make(http.Header, len(d.Headers)+1)
 	for _, h := range d.Headers {
 		name := http.CanonicalHeaderKey(h.Name)
-		headers[name] = append(headers[name], h.Values...)
+		headers[name] = append(headers[name], h.Texts()...)
 	}
 	return &engine.Request{
 		ID: d.RequestId, Attempt: d.Attempt, Method: d.Method, Path: d.Path, Headers: headers, Body: d.Body,
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -111,7 +111,7 @@
 func (s *stream) setHead(h *engine.Head) {
 	head := &wire.Head{Status: uint32(h.Status), Headers: make([]*wire.Header, 0, len(h.Headers))}
 	for name, values := range h.Headers {
-		head.Headers = append(head.Headers, &wire.Header{Name: name, Values: values})
+		head.Headers = append(head.Headers, wire.NewHeader(name, values...))
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -193,9 +193,7 @@
 	}
 	answer := &wire.StoredAnswer{Status: s.head.Status, Body: make([]byte, 0, s.bufferedBytes)}
 	for _, h := range s.head.Headers {
-		for _, v := range h.Values {
-			answer.Headers = append(answer.Headers, &wire.StoredHeader{Name: h.Name, Value: v})
-		}
+		answer.Headers = append(answer.Headers, h.Stored()...)
 	}
 	for _, c := range s.chunks {
 		answer.Body = append(answer.Body, c.Data...)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"unicode/utf8"
 
 	"parsleypulley/internal/fault"
 )
@@ -60,6 +61,11 @@
 	if len(key) > maxIdempotencyKeyBytes {
 		return fault.New(fault.BadRequest, fault.NotRun, "%s is over %d bytes", HeaderIdempotencyKey, maxIdempotencyKeyBytes)
 	}
+	target := servicePath(r)
+	if !utf8.ValidString(key) || !utf8.ValidString(target) {
+		// Neither could be sent to an agent or kept with the record of the call.
+		return fault.New(fault.BadRequest, fault.NotRun, "the target and %s must be UTF-8", HeaderIdempotencyKey)
+	}
 	class, ok := g.directory.ClassifyService(req.Service, r.Method, path, key != "")
 	if !ok {
 		return fault.New(fault.UnknownService, fault.NotRun, "service %q does not exist", req.Service)
@@ -73,7 +79,7 @@
 	}
 	req.Idempotency = class.Idempotency
 	req.IdempotencyKey = key
-	req.Path = servicePath(r)
+	req.Path = target
 	req.Header = forwardHeaders(r.Header)
 	req.Body = body
 	return nil
--- a/internal/router/answers/fuzz_test.go
+++ b/internal/router/answers/fuzz_test.go
@@ -57,7 +57,7 @@
 	f.Add(encode(started, head(99), end(0)))
 	f.Add(encode(head(1000), end(0)))
 	f.Add(encode(head(101), end(0)))
-	f.Add(encode(head(200, &wire.Header{Name: "Bad Name\r\n", Values: []string{"a\r\nb"}}), head(200), end(0)))
+	f.Add(encode(head(200, wire.NewHeader("Bad Name\r\n", "a\r\nb")), head(200), end(0)))
 	f.Add(encode(chunk(1), end(1)))
 	f.Add(encode(started, failed))
 	f.Add(encode(&wire.Response{Error: &wire.Failure{Kind: 4000}}))
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -195,7 +195,7 @@
 func isLeaving(head *wire.Head) bool {
 	for _, h := range head.GetHeaders() {
 		if h.GetName() == dialect.Leaving {
-			return slices.Contains(h.GetValues(), "1")
+			return slices.Contains(h.Texts(), "1")
 		}
 	}
 	return false
--- a/internal/router/headers.go
+++ b/internal/router/headers.go
@@ -20,7 +20,7 @@
 func dispatchHead(h *wire.Head) dispatch.Head {
 	out := dispatch.Head{Status: h.Status}
 	for _, header := range h.Headers {
-		out.Headers = append(out.Headers, dispatch.Header{Name: header.Name, Values: header.Values})
+		out.Headers = append(out.Headers, dispatch.Header{Name: header.Name, Values: header.Texts()})
 	}
 	return out
 }
@@ -36,7 +36,7 @@
 func wireHeaders(h http.Header) []*wire.Header {
 	var out []*wire.Header
 	for name, values := range h {
-		out = append(out, &wire.Header{Name: name, Values: values})
+		out = append(out, wire.NewHeader(name, values...))
 	}
 	return out
 }
--- a/internal/router/once.go
+++ b/internal/router/once.go
@@ -344,9 +344,7 @@
 func storedHeaders(headers []*wire.Header) []*wire.StoredHeader {
 	var out []*wire.StoredHeader
 	for _, h := range headers {
-		for _, v := range h.Values {
-			out = append(out, &wire.StoredHeader{Name: h.Name, Value: v})
-		}
+		out = append(out, h.Stored()...)
 	}
 	return out
 }
