fault: an error with bytes that are not UTF-8 is sent

An error whose text has such bytes of a peer could not be marshalled. The call ended without a response, so that its caller learnt neither the kind nor that the call had not run, and a batch of results with such an error was lost as a whole. The bytes are replaced. TestErrorsWithForeignBytesAreSent, before: "string field contains invalid UTF-8". No place is known where such a text arises today; most errors quote foreign text.

--- a/internal/fault/wire.go
+++ b/internal/fault/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"time"
 
 	"parsleypulley/internal/wire"
@@ -14,7 +15,7 @@
 	}
 	return &wire.Failure{
 		Kind:         uint32(e.Kind),
-		Message:      e.Text(),
+		Message:      strings.ToValidUTF8(e.Text(), "?"), // else the error, and a batch with it, could not be sent
 		Outcome:      wire.Outcome(e.Outcome),
 		RetryAfterMs: uint32(e.RetryAfter.Milliseconds()),
 		Leader:       e.Leader,
