forward: tests of the final answer for each kind of attempt, and of what a stop logs

The answer of a call that a stop ends must say that it has not run only if no attempt, also an earlier one, may have run it. The cases of admission also check the numbers that the log line of a call gives. No change of logic.

--- a/internal/forward/retry_test.go
+++ b/internal/forward/retry_test.go
@@ -88,3 +88,47 @@
 		is.True(got.Err.Outcome != fault.NotRun)
 	}
 }
+
+// Guards against an untrue final answer of a stopping router: a call has not run only if no attempt, also an
+// earlier one, may have run it, and a response that has begun is broken off.
+func TestFinalAnswerTellsWhetherTheCallMayHaveRun(t *testing.T) {
+	for name, test := range map[string]struct {
+		earlier, last Outcome
+		delivered     bool
+		want          fault.Outcome
+		abort         bool
+	}{
+		"not sent":                         {0, Unsent, false, fault.NotRun, false},
+		"refused":                          {0, Refused, false, fault.NotRun, false},
+		"another server":                   {0, Misdirected, false, fault.NotRun, false},
+		"sent":                             {0, InvalidResponse, false, fault.Unknown, false},
+		"no response":                      {0, TimedOut, false, fault.Unknown, false},
+		"failed":                           {0, Failed, false, fault.Unknown, false},
+		"not sent, sent before":            {InvalidResponse, Unsent, false, fault.Unknown, false},
+		"refused, failed before":           {Failed, Refused, false, fault.Unknown, false},
+		"not sent, refused before":         {Refused, Unsent, false, fault.NotRun, false},
+		"not sent, the response had begun": {InvalidResponse, Unsent, true, 0, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			s := RetryState{Idempotent: true, MaxAttempts: 3, Deadline: now.Add(time.Minute)}
+			if test.earlier != 0 {
+				s.RecordAttempt()
+				is.True(s.Next(now, test.earlier, allowRetry).Retry)
+			}
+			if test.delivered {
+				s.RecordDelivery()
+			}
+			s.RecordAttempt()
+			step := s.Stopped(test.last)
+			is.Equal(step.Abort, test.abort)
+			is.True(!step.Retry && !step.PassThrough)
+			if test.abort {
+				return
+			}
+			is.Equal(step.Err.Outcome, test.want)
+			is.Equal(step.Err.Kind.Response().Status, map[fault.Outcome]int{fault.NotRun: 503, fault.Unknown: 502}[test.want])
+		})
+	}
+}
--- a/internal/forward/shutdown_test.go
+++ b/internal/forward/shutdown_test.go
@@ -66,8 +66,14 @@
 			}
 			is.NoErr(g.admit(begin, g.arrive(begin), test.route, test.timeLeft)) // no stop yet
 			g.begin(StopTimes{Began: begin, ListenerCloses: begin.Add(listenerTime), Ends: begin.Add(stop)})
-			err := g.admit(begin.Add(test.after), g.arrive(begin.Add(test.after)), test.route, test.timeLeft)
+			c := g.arrive(begin.Add(test.after))
+			err := g.admit(begin.Add(test.after), c, test.route, test.timeLeft)
 			is.Equal(err == nil, test.taken)
+			is.Equal(c.admission.After, test.after) // for the log
+			is.Equal(c.admission.Left, stop-test.after)
+			known := test.route != unknown && test.route != fresh && test.after < listenerTime
+			is.Equal(c.admission.Responses, map[bool]int{true: durationSamples}[known])
+			is.True(known || c.admission.Predicted == test.timeLeft)
 			if err != nil {
 				is.Equal(fault.From(err).Outcome, fault.NotRun)
 				is.True(fault.From(err).RetryAfter <= shutdownRetryAfter)
