router, gateway: calls are bounded by the planned stop, and answered before it ends

Callers of a stopping router with agents got no response: a call accepted on a keep-alive connection after SIGTERM was sent to a backend server and its connection closed at the end of the stop; so were calls that waited for admission, ran at a backend server, waited between two attempts, claimed their key, or were still uploading their bodies.

Cause: the gateway did not know of the stop. It accepted every call until its connection was closed, whatever the call's time limit, and nothing ended calls early enough to write a response. The log blamed the caller ("the caller is gone").

Now package shutdown decides. During the stop a call is accepted only if its deadline is at least 0.3 s before the end of the stop; a call without a limit is refused, since nothing but the stop would end it. All calls of the gateway have a limit: the caller's, or the preset's default. The rest is refused at once: 503, not run, Connection: close, Retry-After: 0, Retry-After-Ms: 20. 0.3 s before the end each call whose response has not begun gets its final response: 503 as not run if no attempt was launched, else 502 with an unknown outcome; at-most-once calls are always unknown, and a resend with the key learns the outcome. Streams that have begun go on until the end and are then aborted without a last chunk. A second signal ends calls in the same way.

For the deadline to be a bound, reading a body ends at the call's deadline too (it took up to 30 s regardless). A body that fails to arrive for a call with an idempotency key is no proof that no earlier call with it ran, so it is not reported as not run.

The line "calls of the planned stop" gives the numbers, and cut_by=stop marks the calls.

--- a/cmd/parsleypulleyd/router.go
+++ b/cmd/parsleypulleyd/router.go
@@ -102,11 +102,10 @@
 		return server.Serve()
 	})
 	event.Listening(c.Listen, "callers")
+	p.OnStop = g.BeginShutdown
 	return p.Wait(func(ctx context.Context) {
 		watchServer.Close()
-		if err := server.Stop(ctx); err != nil {
-			event.PlannedStopCutRequests("callers", err)
-		}
+		g.Shutdown(ctx, server.Stop)
 	})
 }
 
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -137,6 +137,8 @@
 		m.suspected(ev)
 	case CallerDisconnected:
 		m.finish(Fail{m.withRequestOutcome(fault.New(fault.Cancelled, fault.Unknown, "the caller is gone"))})
+	case Stopped:
+		m.stopped()
 	case Tick:
 		m.tick(now)
 	}
--- a/internal/dispatch/failure.go
+++ b/internal/dispatch/failure.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/shutdown"
 )
 
 // resumeStream requests the missing part of a's stream from its agent. If the
@@ -149,6 +150,15 @@
 	m.finish(Fail{m.withRequestOutcome(fault.New(fault.DeadlineExceeded, fault.Unknown, "the deadline has passed"))})
 }
 
+// stopped ends the request because the router stops. An attempt that is being launched may have been sent.
+func (m *Machine) stopped() {
+	if m.mayHaveRun || m.hasActiveAttempts() {
+		m.finish(Fail{shutdown.Unknown()})
+		return
+	}
+	m.finish(Fail{shutdown.NotRun()})
+}
+
 func (m *Machine) suspected(ev Suspected) {
 	for _, a := range m.attempts {
 		if a.state == running && a.backend == ev.Backend {
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -79,6 +79,9 @@
 // CallerDisconnected reports that the caller no longer waits for the response.
 type CallerDisconnected struct{}
 
+// Stopped reports that the graceful shutdown of the router ends the call.
+type Stopped struct{}
+
 // Tick reports that a timer fired: the deadline or a time set by WakeAt.
 type Tick struct{}
 
@@ -90,6 +93,7 @@
 func (CrashCounted) event()       {}
 func (Suspected) event()          {}
 func (CallerDisconnected) event() {}
+func (Stopped) event()            {}
 func (Tick) event()               {}
 
 // Action is an output of a Machine. The driver carries out actions in order.
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/shutdown"
 	"parsleypulley/internal/wire"
 )
 
@@ -104,6 +105,9 @@
 		m.claimFinished(now, ev)
 	case CallerDisconnected:
 		// The call continues so that its response is recorded for a resend.
+	case Stopped:
+		// The call or an earlier one with the key may run. A resend learns the outcome.
+		m.fail(shutdown.Unknown())
 	case Tick:
 		m.tick(now)
 	}
--- a/internal/dispatch/once_messages.go
+++ b/internal/dispatch/once_messages.go
@@ -51,6 +51,7 @@
 func (IncarnationEnded) onceEvent()   {}
 func (ClaimFinished) onceEvent()      {}
 func (CallerDisconnected) onceEvent() {}
+func (Stopped) onceEvent()            {}
 func (Tick) onceEvent()               {}
 
 // OnceAction is an output of a OnceMachine for the driver to carry out.
--- a/internal/event/call.go
+++ b/internal/event/call.go
@@ -170,10 +170,16 @@
 	Status, Chunks   int
 	// Duration is the time from the arrival of the call to its end.
 	Duration time.Duration
+	// CutBy is "stop" if the planned stop ended the call; empty otherwise.
+	CutBy string
 }
 
 func (c GatewayCall) fields() log.Fields {
-	return log.Fields{"request": c.Request, "account": c.Account, "status": c.Status, "chunks": c.Chunks, "ms": milliseconds(c.Duration)}
+	fields := log.Fields{"request": c.Request, "account": c.Account, "status": c.Status, "chunks": c.Chunks, "ms": milliseconds(c.Duration)}
+	if c.CutBy != "" {
+		fields["cut_by"] = c.CutBy
+	}
+	return fields
 }
 
 // GatewayCallAnswered logs a gateway call that was answered.
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -95,7 +95,7 @@
 // values.
 var eventFuncs = map[string]any{
 	"ProcessStarted": event.ProcessStarted, "ProcessFailed": event.ProcessFailed, "PlannedStopStarted": event.PlannedStopStarted,
-	"PlannedStopEnded": event.PlannedStopEnded, "PlannedStopCutRequests": event.PlannedStopCutRequests, "ComponentEnded": event.ComponentEnded, "PanicRecovered": event.PanicRecovered, "TraceFlushFailed": event.TraceFlushFailed,
+	"PlannedStopEnded": event.PlannedStopEnded, "PlannedStopCutRequests": event.PlannedStopCutRequests, "PlannedStopCalls": event.PlannedStopCalls, "ComponentEnded": event.ComponentEnded, "PanicRecovered": event.PanicRecovered, "TraceFlushFailed": event.TraceFlushFailed,
 	"LibraryMessage": event.LibraryMessage, "Listening": event.Listening, "ReadinessChanged": event.ReadinessChanged,
 	"SettingsReloaded": event.SettingsReloaded, "SettingsReloadFailed": event.SettingsReloadFailed, "DataFolderDamaged": event.DataFolderDamaged,
 	"DiskFull": event.DiskFull, "DiskWritable": event.DiskWritable, "StandinStarted": event.StandinStarted,
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -48,6 +48,26 @@
 	log.WithFields(log.Fields{"listener": listener, "error": errorText(err)}).Warn("requests were cut at the planned stop")
 }
 
+// StopCounts are numbers of calls in one planned stop.
+type StopCounts struct {
+	// Running is the number of calls that were running at its beginning.
+	Running int
+	// Accepted and Refused are the numbers of calls that came later.
+	Accepted, Refused int
+	// Ended is the number of calls that got an error because the stop ended, before
+	// their response had begun.
+	Ended int
+	// Cut is the number of calls whose connection was closed before their response
+	// was complete.
+	Cut int
+}
+
+// PlannedStopCalls logs what became of the calls of a listener in a planned stop.
+func PlannedStopCalls(listener string, c StopCounts) {
+	log.WithFields(log.Fields{"listener": listener, "running": c.Running, "accepted": c.Accepted, "refused": c.Refused,
+		"ended": c.Ended, "cut": c.Cut}).Info("calls of the planned stop")
+}
+
 // ComponentEnded logs that a component of the process ended with an error.
 func ComponentEnded(part string, err error) {
 	log.WithFields(log.Fields{"part": part, "error": errorText(err)}).Error("part of the process ended")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"parsleypulley/internal/account"
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/shutdown"
 )
 
 // Limits of calls.
@@ -69,6 +70,7 @@
 	bodyLimiter *bodyLimiter
 	directory   Directory
 	server      Server
+	shutdown    *shutdown.Guard
 	now         func() time.Time
 	mux         *http.ServeMux
 }
@@ -76,7 +78,7 @@
 // New returns a gateway that looks up callers in directory and runs calls on
 // server.
 func New(directory Directory, server Server) *Gateway {
-	g := &Gateway{Limits: DefaultLimits(), bodyLimiter: newBodyLimiter(maxBodyMemory, maxAccountBodyMemory), directory: directory, server: server, now: time.Now, mux: http.NewServeMux()}
+	g := &Gateway{Limits: DefaultLimits(), bodyLimiter: newBodyLimiter(maxBodyMemory, maxAccountBodyMemory), directory: directory, server: server, shutdown: shutdown.NewGuard(), now: time.Now, mux: http.NewServeMux()}
 	g.mux.HandleFunc("/v1/chat/completions", g.post(g.serveChat))
 	g.mux.HandleFunc("/v1/completions", g.post(g.serveCompletion))
 	g.mux.HandleFunc("/v1/models", g.get(g.serveModels))
@@ -132,12 +134,26 @@
 	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(w.Header()))
 	w.Header().Set(HeaderRequestID, req.CallerRequestID)
 	if err := g.admit(r, req); err != nil {
-		if r.Header.Get(HeaderIdempotencyKey) != "" {
-			err = fault.WithUnverifiedOutcome(err)
+		g.refuse(w, r, req, err)
+		return
+	}
+	ctx, end := context.WithCancelCause(ctx)
+	defer end(nil)
+	stopped := make(chan struct{})
+	req.Stopped = stopped
+	call, refusal := g.shutdown.Accept(req.Deadline, func(cut bool) {
+		end(shutdown.ErrEnded)
+		close(stopped)
+		if cut { // a write may wait for the caller
+			_ = http.NewResponseController(w).SetWriteDeadline(time.Now())
 		}
-		g.writeError(w, g.responder(w, req.CallerRequestID), err)
+	})
+	if refusal != nil {
+		g.refuse(w, r, req, refusal)
 		return
 	}
+	defer call.Finish()
+	req.call = call
 	body := &countedBody{ReadCloser: r.Body, bodyLimiter: g.bodyLimiter, account: req.Caller.Account}
 	defer body.release()
 	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
@@ -148,6 +164,14 @@
 	}
 }
 
+// refuse refuses a call before any record of its idempotency key was read.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, req *Request, err error) {
+	if r.Header.Get(HeaderIdempotencyKey) != "" {
+		err = fault.WithUnverifiedOutcome(err)
+	}
+	g.writeError(w, g.responder(w, req.CallerRequestID), err)
+}
+
 // admit authenticates the call and reads its deadline.
 func (g *Gateway) admit(r *http.Request, req *Request) error {
 	if !g.directory.Ready() {
@@ -207,10 +231,13 @@
 	return hex.EncodeToString(b[:])
 }
 
-// readBody reads the body of a request, with a limit on its size and on the time.
+// readBody reads the body of a request, with a limit on its size and on the time. It ends with the
+// context of the request.
 func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	rc := http.NewResponseController(w)
 	_ = rc.SetReadDeadline(time.Now().Add(g.Limits.ReadBody))
+	unwatch := context.AfterFunc(r.Context(), func() { _ = rc.SetReadDeadline(time.Now()) })
+	defer unwatch()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
@@ -221,6 +248,12 @@
 		if errors.As(err, &refusal) {
 			return nil, refusal
 		}
+		if shutdown.Ended(r.Context()) {
+			return nil, shutdown.NotRun()
+		}
+		if errors.Is(r.Context().Err(), context.DeadlineExceeded) {
+			return nil, fault.New(fault.DeadlineExceeded, fault.NotRun, "the deadline has passed before the body was read")
+		}
 		return nil, fault.New(fault.BadRequest, fault.NotRun, "the body could not be read whole")
 	}
 	_ = rc.SetReadDeadline(time.Time{})
@@ -243,7 +276,7 @@
 // run passes req to the server and completes the response.
 func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, req *Request) error {
 	resp := g.responder(w, req.CallerRequestID)
-	resp.stream = req.Stream
+	resp.stream, resp.call = req.Stream, req.call
 	err := g.checkKey(req)
 	if err == nil {
 		err = g.server.Serve(ctx, req, resp)
@@ -258,6 +291,9 @@
 
 func (g *Gateway) logCall(req *Request, resp *responder, err error) {
 	call := event.GatewayCall{Request: req.ID, Account: req.Caller.Account, Status: resp.status, Chunks: resp.chunks, Duration: g.now().Sub(req.Arrived)}
+	if req.call.Ended() {
+		call.CutBy = "stop"
+	}
 	if err == nil {
 		event.GatewayCallAnswered(call)
 		return
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"parsleypulley/internal/prefix"
+	"parsleypulley/internal/shutdown"
 )
 
 // Kind is the kind of call that a caller makes.
@@ -69,8 +70,13 @@
 	Arrived time.Time
 	// Deadline is when the caller needs the response.
 	Deadline time.Time
+	// Stopped is closed when the graceful shutdown of the router ends the call. The context of the call
+	// ends too, unless it has ended before, with shutdown.ErrEnded as its cause.
+	Stopped <-chan struct{}
 	// apiKey is the caller's API key.
 	apiKey string
+	// call is what the graceful shutdown knows of the call.
+	call *shutdown.Call
 }
 
 // ServiceClass describes how a call to a plain service must be handled.
--- a/internal/gateway/responder.go
+++ b/internal/gateway/responder.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/shutdown"
 )
 
 // statusLimit is greater than all HTTP status codes.
@@ -19,9 +20,12 @@
 
 // responder writes the response to one call. It implements Responder.
 type responder struct {
-	w               http.ResponseWriter
-	rc              *http.ResponseController
-	directory       Directory
+	w         http.ResponseWriter
+	rc        *http.ResponseController
+	directory Directory
+	shutdown  *shutdown.Guard
+	// call is what the graceful shutdown knows of the call; nil if it was not accepted.
+	call            *shutdown.Call
 	callerRequestID string
 	// writeTimeout is the timeout for writing one chunk.
 	writeTimeout time.Duration
@@ -40,7 +44,7 @@
 }
 
 func (g *Gateway) responder(w http.ResponseWriter, callerRequestID string) *responder {
-	return &responder{w: w, rc: http.NewResponseController(w), directory: g.directory, callerRequestID: callerRequestID, writeTimeout: g.Limits.Write}
+	return &responder{w: w, rc: http.NewResponseController(w), directory: g.directory, shutdown: g.shutdown, callerRequestID: callerRequestID, writeTimeout: g.Limits.Write}
 }
 
 // Head implements Responder.
@@ -48,6 +52,9 @@
 	if !ValidStatus(h.Status) {
 		return fault.New(fault.Internal, fault.Unknown, "%d is no status of an answer", h.Status)
 	}
+	if !r.call.Begin() {
+		return shutdown.Unknown()
+	}
 	header := r.w.Header()
 	for name, values := range forwardHeaders(h.Header) {
 		if name == HeaderRequestID || name == "Content-Length" {
@@ -71,6 +78,9 @@
 }
 
 func (r *responder) setCommonHeaders(header http.Header) {
+	if r.shutdown.Stopping() {
+		header.Set("Connection", "close") // the caller's next call goes to another router
+	}
 	header.Set(HeaderRevision, strconv.FormatUint(r.directory.Revision(), 10))
 	if r.callerRequestID != "" {
 		header.Set(HeaderRequestID, r.callerRequestID)
@@ -144,8 +154,8 @@
 // writeError sends err to the caller. Before the head of the response it sends an
 // error response. After the head of a stream it sends an error event and no
 // terminator. After the head of any other response, or if the call was cancelled
-// after the head, it closes the connection, so that the caller can't mistake the
-// partial body for a complete one.
+// or ended by the shutdown after the head, it closes the connection, so that the
+// caller can't mistake the partial body for a complete one.
 func (g *Gateway) writeError(w http.ResponseWriter, r *responder, err error) {
 	e := fault.From(err)
 	if r.status != 0 {
@@ -154,14 +164,25 @@
 	}
 	header := w.Header()
 	if d := e.RetryDelay(); d > 0 {
-		header.Set("Retry-After", strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10))
+		header.Set("Retry-After", strconv.FormatInt(retryAfterSeconds(d), 10))
 		header.Set("Retry-After-Ms", strconv.FormatInt(d.Milliseconds(), 10))
 	}
 	_ = r.json(e.Kind.Response().Status, newErrorResponse(e))
 }
 
+// retryAtOnce is the delay below which Retry-After, which counts whole seconds, says 0: rounded up, it would
+// keep the callers of a router that stops from another router for a second.
+const retryAtOnce = 100 * time.Millisecond
+
+func retryAfterSeconds(d time.Duration) int64 {
+	if d < retryAtOnce {
+		return 0
+	}
+	return int64((d + time.Second - 1) / time.Second)
+}
+
 func (r *responder) writeErrorAfterHead(e *fault.Error) {
-	if !r.sse || e.Kind == fault.Cancelled {
+	if !r.sse || e.Kind == fault.Cancelled || r.call.Ended() {
 		panic(http.ErrAbortHandler)
 	}
 	data, err := json.Marshal(newErrorResponse(e))
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -68,6 +68,9 @@
 		return fault.New(fault.IdempotencyKeyRequired, fault.NotRun, "this call runs at most once and needs an %s header", HeaderIdempotencyKey)
 	}
 	body, err := g.readBody(w, r)
+	if err != nil && key != "" {
+		return fault.WithUnverifiedOutcome(err)
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/router/admit.go
+++ b/internal/router/admit.go
@@ -7,6 +7,7 @@
 
 	"parsleypulley/internal/admission"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/shutdown"
 )
 
 // admitter drives an admission.Controller. It blocks goroutines until their request is
@@ -50,7 +51,7 @@
 	case action := <-decided:
 		return a.newTicket(req.ID, action)
 	case <-ctx.Done():
-		return a.abandon(req.ID, decided, ctx.Err())
+		return a.abandon(ctx, req.ID, decided)
 	}
 }
 
@@ -62,9 +63,9 @@
 	return &ticket{admitter: a, id: id, demotion: action.Demotion}, nil
 }
 
-// abandon ends the wait of a request whose caller has disconnected or whose deadline
-// has passed. If the request has been admitted meanwhile, it releases the admission.
-func (a *admitter) abandon(id uint64, decided chan admission.Action, cause error) (*ticket, error) {
+// abandon ends the wait of a request whose caller has disconnected, whose deadline has passed or
+// that the shutdown ends. If the request has been admitted meanwhile, it releases the admission.
+func (a *admitter) abandon(ctx context.Context, id uint64, decided chan admission.Action) (*ticket, error) {
 	a.mu.Lock()
 	delete(a.waiting, id)
 	select {
@@ -76,7 +77,10 @@
 		a.deliver(a.controller.Finish(time.Now(), id, admission.Result{}))
 	}
 	a.mu.Unlock()
-	return nil, fault.New(contextErrorKind(cause), fault.NotRun, "gave up waiting for admission: %w", cause)
+	if shutdown.Ended(ctx) {
+		return nil, shutdown.NotRun()
+	}
+	return nil, fault.New(contextErrorKind(ctx.Err()), fault.NotRun, "gave up waiting for admission: %w", ctx.Err())
 }
 
 // deliver sends actions to the waiting goroutines and resets the timer. The caller
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -10,6 +10,7 @@
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/gateway"
 	"parsleypulley/internal/routing"
+	"parsleypulley/internal/shutdown"
 )
 
 // call is one request in progress.
@@ -116,23 +117,32 @@
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			return dispatch.Tick{}
 		}
+		if shutdown.Ended(ctx) {
+			return dispatch.Stopped{}
+		}
 		return dispatch.CallerDisconnected{}
 	}
 }
 
-// perform carries out actions of the dispatch machine m. If the caller disconnects
-// meanwhile, it drops the remaining ones and carries out those that m then returns.
+// perform carries out actions of the dispatch machine m. If the response can't be
+// written, it drops the remaining ones and carries out those that m then returns.
 func (c *call) perform(m *dispatch.Machine, actions []dispatch.Action) {
 	for _, action := range actions {
-		if err := c.performAction(action); err != nil {
+		err := c.performAction(action)
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, shutdown.ErrEnded):
+			c.perform(m, m.Step(time.Now(), dispatch.Stopped{}))
+		default:
 			c.perform(m, m.Step(time.Now(), dispatch.CallerDisconnected{}))
-			return
 		}
+		return
 	}
 }
 
 // performAction carries out one action. An error means that the caller has
-// disconnected.
+// disconnected or that the shutdown has ended the call.
 func (c *call) performAction(action dispatch.Action) error {
 	switch a := action.(type) {
 	case dispatch.Launch:
--- a/internal/router/once.go
+++ b/internal/router/once.go
@@ -94,6 +94,8 @@
 		return dispatch.Tick{}
 	case <-c.deadline.C:
 		return dispatch.Tick{}
+	case <-c.plan.req.Stopped:
+		return dispatch.Stopped{}
 	}
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -22,6 +22,7 @@
 	"parsleypulley/internal/link"
 	"parsleypulley/internal/recovery"
 	"parsleypulley/internal/routing"
+	"parsleypulley/internal/shutdown"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -230,6 +231,10 @@
 	}
 	w = &quotaResponder{w, p.quota}
 	defer func() { p.quota.end(err) }()
+	if shutdown.Ended(ctx) {
+		err = refusal(shutdown.NotRun())
+		return err
+	}
 	err = errUnfinished // stands if the call panics
 	if req.Idempotency == gateway.AtMostOnce {
 		err = r.serveOnce(ctx, p, w)
--- a/internal/router/stack_test.go
+++ b/internal/router/stack_test.go
@@ -49,7 +49,9 @@
 	quotas *quota.Allocator
 	// outOfReach keeps routers from proposing commands, and from getting units of quotas.
 	outOfReach atomic.Bool
-	ctx        context.Context
+	// commitDelay is the time that the control replica takes for each proposal, in nanoseconds.
+	commitDelay atomic.Int64
+	ctx         context.Context
 }
 
 type testBackend struct {
@@ -120,6 +122,7 @@
 		if s.outOfReach.Load() {
 			return fault.New(fault.Unavailable, fault.NotRun, "out of reach")
 		}
+		time.Sleep(time.Duration(s.commitDelay.Load()))
 		result := s.apply(body.Propose.Command)
 		return call.Send(&wire.Response{Body: &wire.Response_ProposeReply{ProposeReply: &wire.ProposeReply{Result: result}}})
 	case *wire.Request_Permits:
--- /dev/null
+++ b/internal/shutdown/guard_test.go
@@ -0,0 +1,87 @@
+package shutdown
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"parsleypulley/internal/fault"
+)
+
+// Guards against a call that is accepted during the shutdown although nothing bounds its end, and against
+// refusals of calls that end in time.
+func TestAcceptOnlyWhatEndsInTime(t *testing.T) {
+	is := is.New(t)
+	g := NewGuard()
+	early, refusal := g.Accept(time.Time{}, func(bool) {})
+	is.True(refusal == nil) // no shutdown yet
+	endsAt := time.Now().Add(10 * time.Minute)
+	g.Begin(endsAt)
+	g.Begin(endsAt.Add(time.Hour)) // changes nothing
+	for _, test := range []struct {
+		deadline time.Time
+		accepted bool
+	}{
+		{endsAt.Add(-FinalMargin), true},
+		{endsAt.Add(-FinalMargin + time.Millisecond), false},
+		{endsAt.Add(time.Minute), false},
+		{time.Time{}, false},
+	} {
+		c, refusal := g.Accept(test.deadline, func(bool) {})
+		is.Equal(refusal == nil, test.accepted)
+		if refusal != nil {
+			is.Equal(refusal.Kind, fault.Shutdown)
+			is.Equal(refusal.Outcome, fault.NotRun)
+		}
+		c.Finish()
+	}
+	early.Finish()
+	is.Equal(g.Counts(), Counts{Running: 1, Accepted: 1, Refused: 3})
+}
+
+// Guards against calls that the end of the shutdown neither ends nor counts, and against a call that gets
+// both a response and its end.
+func TestCallsEndWithTheShutdown(t *testing.T) {
+	is := is.New(t)
+	g := NewGuard()
+	var waitingEnded, begunCut atomic.Bool
+	var waiting, begun, done *Call
+	waiting, _ = g.Accept(time.Time{}, func(cut bool) { is.True(!cut); waitingEnded.Store(true); waiting.Finish() })
+	begun, _ = g.Accept(time.Time{}, func(cut bool) { is.True(cut); begunCut.Store(true); begun.Finish() })
+	done, _ = g.Accept(time.Time{}, func(bool) { t.Error("ended after it was complete") })
+	stuck, _ := g.Accept(time.Time{}, func(bool) {})
+	is.True(begun.Begin())
+	is.True(done.Begin())
+	done.Finish()
+	g.Begin(time.Now().Add(FinalMargin)) // final responses at once
+	for end := time.Now().Add(10 * time.Second); !waitingEnded.Load() && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(waitingEnded.Load())
+	is.True(waiting.Ended())
+	is.True(!waiting.Begin()) // it has its final response
+	is.True(!begunCut.Load()) // it goes on until the end
+	g.Cut(20 * time.Millisecond)
+	is.True(begunCut.Load())
+	is.Equal(g.Counts(), Counts{Running: 3, Ended: 1, Cut: 2}) // stuck has not answered
+	stuck.Finish()
+	is.True((*Call)(nil).Begin())
+	is.True(!(*Call)(nil).Ended())
+}
+
+// Guards against a caller's disconnection that is taken for the end of the shutdown.
+func TestEnded(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancelCause(context.Background())
+	child, stop := context.WithCancel(ctx)
+	defer stop()
+	is.True(!Ended(child))
+	cancel(ErrEnded)
+	is.True(Ended(child))
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	is.True(!Ended(left))
+}
