router: a call ends when the last part of its response can't be written

A caller that left while the last part of a buffered response was written to it kept its call running forever: the dispatch machine had ended, so it returned no further action, and the event loop of the call went round without a pause as long as the process ran. Each such call used a processor, held its admission and made a planned stop wait until its deadline.

TestCallEndsWhenItsResponseCannotBeWritten failed with 'the call has not ended 2 s after its deadline'. Now the call ends with the error of the write if the machine has ended.

--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -125,13 +125,16 @@
 }
 
 // perform carries out actions of the dispatch machine m. If the response can't be
-// written, it drops the remaining ones and carries out those that m then returns.
+// written, it drops the remaining ones and carries out those that m then returns. If m
+// has ended, it returns none, and the call ends with the error.
 func (c *call) perform(m *dispatch.Machine, actions []dispatch.Action) {
 	for _, action := range actions {
 		err := c.performAction(action)
 		switch {
 		case err == nil:
 			continue
+		case m.Done():
+			c.err, c.ended = fault.From(err), true
 		case errors.Is(err, shutdown.ErrEnded):
 			c.perform(m, m.Step(time.Now(), dispatch.Stopped{}))
 		default:
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -15,7 +15,9 @@
 
 	"parsleypulley/internal/account"
 	"parsleypulley/internal/daemon"
+	"parsleypulley/internal/fault"
 	"parsleypulley/internal/gateway"
+	"parsleypulley/internal/shutdown"
 	"parsleypulley/internal/standin"
 	"parsleypulley/internal/wire"
 )
@@ -360,3 +362,68 @@
 	is.True(strings.Contains(a.body, "data: "))
 	is.True(!strings.Contains(a.body, "[DONE]") && !strings.Contains(a.body, `"error"`))
 }
+
+// failingResponder fails at the head or at the first chunk of a response.
+type failingResponder struct {
+	gateway.Responder
+	head, chunk error
+}
+
+func (r failingResponder) Head(h gateway.Head) error {
+	if r.head != nil {
+		return r.head
+	}
+	return r.Responder.Head(h)
+}
+
+func (r failingResponder) Chunk(data []byte) error {
+	if r.chunk != nil {
+		return r.chunk
+	}
+	return r.Responder.Chunk(data)
+}
+
+// serverFunc implements gateway.Server.
+type serverFunc func(ctx context.Context, req *gateway.Request, w gateway.Responder) error
+
+func (f serverFunc) Serve(ctx context.Context, req *gateway.Request, w gateway.Responder) error {
+	return f(ctx, req, w)
+}
+
+// Guards against a call that never ends, and uses a processor all the time, because its caller leaves or the
+// shutdown ends it while the last part of its response is written.
+func TestCallEndsWhenItsResponseCannotBeWritten(t *testing.T) {
+	gone := fault.New(fault.Cancelled, fault.Unknown, "the caller is gone")
+	for name, test := range map[string]struct {
+		responder failingResponder
+		want      fault.Kind
+	}{
+		"the caller leaves before the body": {failingResponder{chunk: gone}, fault.Cancelled},
+		"the shutdown ends before the head": {failingResponder{head: shutdown.Unknown()}, fault.OutcomeUnknown},
+	} {
+		for _, body := range []string{chatBody, strings.Replace(chatBody, "{", `{"stream":true,`, 1)} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				s := newStack(t)
+				s.addBackend("runner-0", "", standin.Options{})
+				r := New(Options{Name: "router", Domain: "punjab-a", Seed: 1, Views: s.machine.Log().Store(), Pool: s.pool, Control: s.client})
+				go r.Run(s.ctx)
+				ended := make(chan error, 1)
+				url := s.serveCallers(gateway.New(NewDirectory(s.machine.Log().Store()),
+					serverFunc(func(ctx context.Context, req *gateway.Request, w gateway.Responder) error {
+						test.responder.Responder = w
+						err := r.Serve(ctx, req, test.responder)
+						ended <- err
+						return err
+					})))
+				send(t, url, chatPath, body, gateway.HeaderTimeout, "1000")
+				select {
+				case err := <-ended:
+					is.Equal(fault.From(err).Kind, test.want)
+				case <-time.After(3 * time.Second):
+					t.Fatal("the call has not ended 2 s after its deadline")
+				}
+			})
+		}
+	}
+}
