agent: the planned stop takes no new calls, and ends claimed calls with their outcome

A caller of an at-most-once call that ran at an agent whose stop ended waited until its own deadline: the router asked an agent that was gone for the outcome, again and again. TestOnceCallEndsWithTheStopOfItsAgent got 504 after 5 s, its deadline. An agent also took new calls in the first 0.5 s after SIGTERM, however long they might run (TestStoppingAgentTakesNoCalls got 200).

Cause: nothing ended the runs of an agent before its links were closed, so routers learned nothing from it; and it began to refuse calls only after the time in which a load balancer sees that a process is not ready, which does not concern agents.

Calls that may repeat go on elsewhere without the attempt to read on at the agent that leaves; a claimed call gets OutcomeUnknown, which the router records without asking again. The runs were lost before, too: the process ended under them.

TestStreamOutlastsTheStopOfItsAgent passed before.

--- a/cmd/parsleypulleyd/agent.go
+++ b/cmd/parsleypulleyd/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 
 	"parsleypulley/internal/agent"
 	"parsleypulley/internal/controlclient"
@@ -76,10 +77,12 @@
 	if err := p.Serve(agentHandler(a, node.ViewHandler(watchServer, link.RoleAgent), driver), func() error { return agentReady(a) }); err != nil {
 		return err
 	}
+	p.OnStop = a.BeginStop
 	return p.Wait(func(ctx context.Context) {
 		watchServer.Close()
-		if err := a.Drain(ctx); err != nil {
-			event.PlannedStopCutRequests("agent", err)
+		_ = a.Drain(ctx) // its error is that of ctx
+		if n := a.EndedByStop(); n > 0 {
+			event.PlannedStopCutRequests("agent", fmt.Errorf("%d requests were running", n))
 		}
 		announcer.AwaitLeave(ctx)
 	})
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -114,6 +114,12 @@
 	// ctx is the parent of all work at the backend server. Close cancels it.
 	ctx   context.Context
 	close context.CancelFunc
+	// runsCtx is the parent of the runs. cancelRuns cancels it.
+	runsCtx    context.Context
+	cancelRuns context.CancelCauseFunc
+	stopOnce   sync.Once
+	// endedByStop is the number of requests that the planned stop has ended.
+	endedByStop atomic.Int64
 
 	mu   sync.Mutex
 	gate *gate.Gate
@@ -164,6 +170,7 @@
 		suspectSlot: make(chan struct{}, 1),
 		announceNow: make(chan struct{}, 1),
 	}
+	a.runsCtx, a.cancelRuns = context.WithCancelCause(ctx)
 	a.prefixIndex.OnDrop(a.loadTracker.Evicted)
 	return a, nil
 }
@@ -290,21 +297,24 @@
 
 // Drain prepares the agent for a planned stop. It makes the agent refuse new
 // requests, announces that the backend server is leaving, and waits until the
-// running requests have finished or ctx ends. The link server's Shutdown then
-// waits until the responses have been sent.
+// running requests have finished or ctx ends. Then it ends them. The link server's
+// Shutdown then waits until the responses have been sent.
 func (a *Agent) Drain(ctx context.Context) error {
-	a.mu.Lock()
-	a.gate.SetLeaving()
-	a.mu.Unlock()
-	a.TriggerAnnounce()
+	a.leave()
 	done := make(chan struct{})
 	go func() { a.runs.Wait(); close(done) }()
 	select {
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return fault.New(fault.DeadlineExceeded, fault.Unknown, "%d requests are still running: %w", a.Status().Running, ctx.Err())
 	}
+	running := a.Status().Running
+	a.endRuns()
+	select {
+	case <-done:
+	case <-time.After(stopWait):
+	}
+	return fault.New(fault.DeadlineExceeded, fault.Unknown, "%d requests are still running: %w", running, ctx.Err())
 }
 
 // TriggerAnnounce makes the Announcer send an announcement immediately.
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -28,6 +28,7 @@
 	ctx, span := a.startSpan(ctx, traceparent, d)
 	defer span.End()
 	end, err := a.runSerializingSuspects(ctx, d, t, s)
+	err = stopFailure(ctx, t.Claimed, err)
 	if err != nil {
 		span.SetStatus(codes.Error, err.Error())
 		a.logFailure(d, err)
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -93,9 +93,10 @@
 
 // runContext returns the context of a run. The context ends at the call's
 // deadline, but not when the call ends, so that the stream can be resumed. For a
-// claimed call, ClaimedCallTimeout replaces the call's deadline.
+// claimed call, ClaimedCallTimeout replaces the call's deadline. The planned stop
+// ends both.
 func (a *Agent) runContext(ctx context.Context, t gate.Ticket) (context.Context, context.CancelCauseFunc) {
-	run, cancel := context.WithCancelCause(a.ctx)
+	run, cancel := context.WithCancelCause(a.runsCtx)
 	deadline, ok := ctx.Deadline()
 	if t.Claimed {
 		deadline, ok = time.Now().Add(a.config.Timings.ClaimedCallTimeout), true
--- a/internal/dispatch/once.go
+++ b/internal/dispatch/once.go
@@ -250,6 +250,10 @@
 		m.finishWith(wire.OnceRecord_STATE_NOT_RUN, nil)
 		return
 	}
+	if ev.Err.Kind == fault.OutcomeUnknown { // the agent stops and won't know more
+		m.finishWith(wire.OnceRecord_STATE_UNKNOWN, nil)
+		return
+	}
 	m.queryClaim()
 }
 
--- a/internal/router/stack_test.go
+++ b/internal/router/stack_test.go
@@ -59,6 +59,8 @@
 	agent   *agent.Agent
 	engine  *engine.HTTP
 	cancel  context.CancelFunc
+	// link serves the agent's links.
+	link *link.Server
 }
 
 func newStack(t testing.TB) *stack {
@@ -91,13 +93,17 @@
 	return ln
 }
 
-func (s *stack) serveLink(h link.Handler) string { return s.serveLinkOn(s.listen(), h) }
+func (s *stack) serveLink(h link.Handler) string {
+	ln := s.listen()
+	s.serveLinkOn(ln, h)
+	return ln.Addr().String()
+}
 
-func (s *stack) serveLinkOn(ln net.Listener, h link.Handler) string {
+func (s *stack) serveLinkOn(ln net.Listener, h link.Handler) *link.Server {
 	server := link.NewServer(h, nil)
 	go server.Serve(ln)
 	s.t.Cleanup(server.Close)
-	return ln.Addr().String()
+	return server
 }
 
 func (s *stack) apply(c *wire.Command) *wire.CommandResult {
@@ -197,7 +203,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.serveLinkOn(ln, a)
+	b.link = s.serveLinkOn(ln, a)
 	b.agent = a
 	ctx, cancel := context.WithCancel(s.ctx)
 	b.cancel = cancel
--- a/internal/router/stop_test.go
+++ b/internal/router/stop_test.go
@@ -363,6 +363,78 @@
 	is.True(!strings.Contains(a.body, "[DONE]") && !strings.Contains(a.body, `"error"`))
 }
 
+// stopAgent stops an agent as the agent process does. The stop ends after d.
+func stopAgent(b *testBackend, d time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	b.agent.BeginStop(deadline)
+	_ = b.agent.Drain(ctx)
+	b.link.Shutdown(ctx)
+	b.cancel()
+	b.link.Close()
+	b.agent.Close()
+}
+
+// Guards against a caller that waits until its deadline for the outcome of an at-most-once call that ran at
+// an agent whose stop has ended.
+func TestOnceCallEndsWithTheStopOfItsAgent(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t)
+	b := s.addBackend("farmdesk-0", "farmdesk", standin.Options{Latency: 20 * time.Second})
+	url := s.addRouter()
+	running := send(t, url, bookingPath, "{}", gateway.HeaderIdempotencyKey, "k1", gateway.HeaderTimeout, "5000")
+	waitFor(t, func() bool { return s.runs("k1") == 1 })
+	stopAgent(b, 700*time.Millisecond)
+	a := <-running
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusBadGateway)
+	is.True(strings.Contains(a.body, `"outcome_unknown"`))
+	is.True(strings.Contains(a.body, `"ran":"unknown"`))
+	is.True(a.after < 3*time.Second) // long before the deadline
+	resp, _ := book(t, url, "k1", "{}")
+	is.Equal(resp.StatusCode, http.StatusBadGateway)
+	is.Equal(s.runs("k1"), 1)
+}
+
+// Guards against a stream that breaks because the stop of its agent ends, and against a wait before it goes
+// on at another agent.
+func TestStreamOutlastsTheStopOfItsAgent(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t)
+	for i := range 2 {
+		s.addBackend(fmt.Sprint("runner-", i), "", standin.Options{DecodePerToken: 5 * time.Millisecond})
+	}
+	url := s.addRouter()
+	body := strings.Replace(streamBody, `"max_tokens":2000`, `"max_tokens":300`, 1)
+	running := send(t, url, chatPath, body)
+	waitFor(t, func() bool { return s.begun("runner-0")+s.begun("runner-1") == 1 })
+	b := s.backends["runner-0"]
+	if s.begun("runner-1") == 1 {
+		b = s.backends["runner-1"]
+	}
+	stopAgent(b, 700*time.Millisecond)
+	a := <-running
+	is.NoErr(a.err)
+	is.True(strings.Contains(a.body, "[DONE]"))
+	is.True(!strings.Contains(a.body, `"error"`))
+	is.Equal(strings.Count(a.body, "\ndata: "), strings.Count(a.body, "data: ")-1) // every event is whole
+}
+
+// Guards against a call that a stopping agent accepts after the stop has begun.
+func TestStoppingAgentTakesNoCalls(t *testing.T) {
+	is := is.New(t)
+	s := newStack(t)
+	b := s.addBackend("farmdesk-0", "farmdesk", standin.Options{})
+	url := s.addRouter()
+	b.agent.BeginStop(time.Now().Add(time.Minute))
+	a := <-send(t, url, bookingPath, "{}", gateway.HeaderIdempotencyKey, "k1")
+	is.NoErr(a.err)
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.True(strings.Contains(a.body, `"ran":"not_run"`))
+	is.Equal(s.runs("k1"), 0)
+}
+
 // failingResponder fails at the head or at the first chunk of a response.
 type failingResponder struct {
 	gateway.Responder
