gateway: final responses are on the wire before the connections are closed

The end of a stop closes the connections once the calls that it ends have returned, but net/http wrote their short responses only after that. An error response now states its length and is flushed during a stop.

--- a/internal/gateway/responder.go
+++ b/internal/gateway/responder.go
@@ -126,10 +126,22 @@
 
 func (r *responder) json(status int, v any) error {
 	r.setCommonHeaders(r.w.Header())
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	data = append(data, '\n')
 	r.w.Header().Set("Content-Type", contentTypeJSON)
+	r.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	r.status = status
 	r.w.WriteHeader(status)
-	return json.NewEncoder(r.w).Encode(v)
+	if _, err := r.w.Write(data); err != nil {
+		return err
+	}
+	if r.shutdown.Stopping() {
+		_ = r.rc.Flush() // the connection may be closed as soon as the call has ended
+	}
+	return nil
 }
 
 // errorBody is the error object in the OpenAI format.
