--- a/cmd/parsleypulleyd/router.go
+++ b/cmd/parsleypulleyd/router.go
@@ -102,7 +102,7 @@
 		return server.Serve()
 	})
 	event.Listening(c.Listen, "callers")
-	p.OnStop = g.BeginShutdown
+	p.OnStop, p.StopCounts = g.BeginShutdown, g.StopCounts
 	return p.Wait(func(ctx context.Context) {
 		watchServer.Close()
 		g.Shutdown(ctx, server.Stop)
--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -37,35 +37,48 @@
 	log.WithField("role", role).Info("planned stop begins")
 }
 
+// StopCounts counts the calls of a router's planned stop. Running and Accepted together are
+// those that the router had to finish: they are Complete, Cut, Left or, if their bodies were
+// still being read when the stop began, may be Refused.
+type StopCounts struct {
+	// Running is the number of calls that were running when the stop began.
+	Running int
+	// Accepted and Refused are the numbers of calls accepted and refused during the stop.
+	Accepted, Refused int
+	// Complete is the number of calls that ended with a complete response, also an error.
+	Complete int
+	// Cut is the number of calls that the end of the stop cut.
+	Cut int
+	// Left is the number of calls whose callers left, or whose responses broke off.
+	Left int
+}
+
 // PlannedStopEnded logs the end of a planned stop. complete is set if all work in
-// progress could finish.
-func PlannedStopEnded(role string, complete bool) {
-	log.WithFields(log.Fields{"role": role, "complete": complete}).Info("planned stop ends")
+// progress could finish. counts is nil for roles that don't count calls.
+func PlannedStopEnded(role string, complete bool, counts *StopCounts) {
+	fields := log.Fields{"role": role, "complete": complete}
+	if counts != nil {
+		fields["running"], fields["accepted"], fields["refused"] = counts.Running, counts.Accepted, counts.Refused
+		fields["answered"], fields["cut"], fields["left"] = counts.Complete, counts.Cut, counts.Left
+	}
+	log.WithFields(fields).Info("planned stop ends")
 }
 
-// PlannedStopCutRequests logs that a planned stop aborted requests of a listener.
-func PlannedStopCutRequests(listener string, err error) {
-	log.WithFields(log.Fields{"listener": listener, "error": errorText(err)}).Warn("requests were cut at the planned stop")
+// SignalInPlannedStop logs a signal that came during a planned stop. ends is set if it ends
+// the stop at once.
+func SignalInPlannedStop(role, signal string, ends bool) {
+	log.WithFields(log.Fields{"role": role, "signal": signal, "ends": ends}).Info("signal during the planned stop")
 }
 
-// StopCounts are numbers of calls in one planned stop.
-type StopCounts struct {
-	// Running is the number of calls that were running at its beginning.
-	Running int
-	// Accepted and Refused are the numbers of calls that came later.
-	Accepted, Refused int
-	// Ended is the number of calls that got an error because the stop ended, before
-	// their response had begun.
-	Ended int
-	// Cut is the number of calls whose connection was closed before their response
-	// was complete.
-	Cut int
+// PlannedStopCutRunning logs how many requests of a listener were running when a planned stop
+// closed their connections.
+func PlannedStopCutRunning(listener string, requests int) {
+	log.WithFields(log.Fields{"listener": listener, "requests": requests}).Warn("requests were cut at the planned stop")
 }
 
-// PlannedStopCalls logs what became of the calls of a listener in a planned stop.
-func PlannedStopCalls(listener string, c StopCounts) {
-	log.WithFields(log.Fields{"listener": listener, "running": c.Running, "accepted": c.Accepted, "refused": c.Refused,
-		"ended": c.Ended, "cut": c.Cut}).Info("calls of the planned stop")
+// PlannedStopCutRequests logs that a planned stop aborted requests of a listener.
+func PlannedStopCutRequests(listener string, err error) {
+	log.WithFields(log.Fields{"listener": listener, "error": errorText(err)}).Warn("requests were cut at the planned stop")
 }
 
 // ComponentEnded logs that a component of the process ended with an error.
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -47,7 +47,8 @@
 	case errors.As(err, &tooLarge):
 		return fault.New(fault.BodyTooLarge, fault.NotRun, "the body has more than %d bytes", limit)
 	case errors.Is(err, os.ErrDeadlineExceeded) && c.f.shutdown.stopping():
-		return fault.New(fault.Shutdown, fault.NotRun, "this router stops, the body did not come whole").WithRetryAfter(shutdownRetryAfter)
+		c.f.shutdown.bodyRefused()
+		return shutdownError("this router stops, the body did not come whole")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fault.New(fault.DeadlineExceeded, fault.NotRun, "the body did not come whole in time")
 	case err != nil:
@@ -55,7 +56,7 @@
 	}
 	c.body = body
 	now := time.Now()
-	return c.f.shutdown.admit(now, c.route, c.arrivedAt.Add(c.timeout()).Sub(now))
+	return c.f.shutdown.admit(now, c.stop, c.route, c.arrivedAt.Add(c.timeout()).Sub(now))
 }
 
 // findRoute finds the route and the client account. A newer route table may allow
@@ -132,6 +133,9 @@
 		if c.f.selector.clock().Sub(selectedAt) > maxSelectionAge {
 			return errSelectionOutdated
 		}
+		if c.isFinal() {
+			return errStopEnds
+		}
 		return c.mayStillSend()
 	}
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"parsleypulley/internal/crashreport"
+	"parsleypulley/internal/event"
+	"parsleypulley/internal/fault"
 	"parsleypulley/internal/quarantine"
 	"parsleypulley/internal/quota"
 	"parsleypulley/internal/quota/guard"
@@ -192,9 +194,15 @@
 }
 
 // BeginShutdown makes the forwarder close callers' connections after their next
-// response, and refuse calls that might not be complete at endsAt, when the planned stop
-// cuts them.
-func (f *Forwarder) BeginShutdown(endsAt time.Time) { f.shutdown.begin(endsAt) }
+// response, and refuse calls that might not be complete at the end of the planned stop,
+// which cuts them. Calls whose response has not begun shortly before the end get an answer.
+func (f *Forwarder) BeginShutdown(times StopTimes) {
+	f.shutdown.begin(times)
+	time.AfterFunc(time.Until(times.Ends.Add(-finalAnswerMargin)), f.shutdown.endWaiting)
+}
+
+// StopCounts returns the numbers of calls of the planned stop, at its end.
+func (f *Forwarder) StopCounts() event.StopCounts { return f.shutdown.stopCounts() }
 
 // Ready returns nil if calls can be served, and otherwise an error with the
 // reason.
@@ -237,6 +245,8 @@
 	// one is the whole prompt. It is empty if the route has no prompts.
 	promptLevels []*wire.PrefixLevel
 	RetryState
+	// stop is what the shutdown guard knows of the call.
+	stop *stopCall
 
 	// fingerprint identifies the same calls of the account; nil until it is needed.
 	fingerprint []byte
@@ -261,8 +271,8 @@
 	startedBy *wire.Backend
 	// recordedAt is the time at which the software of the stream was recorded last.
 	recordedAt time.Time
-	// lastEventID is the ID of the newest event that the caller has received.
-	lastEventID string
+	// position is how far the caller has got in the stream.
+	position streamPosition
 	// headerWritten is set once the caller has been sent response headers.
 	headerWritten bool
 	// firstEventDelay is the time from the arrival of the call to the first event
@@ -291,11 +301,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer func() { c.quota.End() }()
+	c.stop = f.shutdown.arrive(c.arrivedAt)
+	end := endLeft // also if the call panics
+	defer func() { f.shutdown.finish(time.Now(), c.stop, end) }()
 	err := c.admit()
 	if err == nil {
 		err = c.serve()
 	}
-	c.finish(err)
+	end = c.endOf(err)
+	c.finish(err, end)
 }
 
 // serve makes attempts until the call has a final result.
@@ -306,19 +320,22 @@
 		MaxAttempts: max(1, int(c.route.GetAttempts())),
 		Deadline:    c.arrivedAt.Add(c.timeout()),
 	}
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.Deadline)
+	stoppable, endAttempts := context.WithCancelCause(c.r.Context())
+	defer endAttempts(nil)
+	c.f.shutdown.setCancel(c.stop, endAttempts)
+	ctx, cancel := context.WithDeadline(stoppable, c.Deadline)
 	defer cancel()
 	c.callCtx, c.ctx = ctx, ctx
 	c.service = routes.PickService(c.route, rand.Uint64N(routes.TotalWeight(c.route)))
 	if err := c.bindResumed(ctx); err != nil {
-		return err
+		return c.beforeAttempts(err)
 	}
 	c.accountSalt = saltOf(c.account)
 	c.promptLevels = levelsOf(c.route, c.call, c.accountSalt)
-	c.lastEventID = c.call.LastEventID
+	c.position.lastID = c.call.LastEventID
 	c.header = endToEndHeaders(c.r.Header)
 	if err := c.takeQuota(); err != nil {
-		return err
+		return c.beforeAttempts(err)
 	}
 	c.f.selector.recordCall(c.service)
 	for {
@@ -335,6 +352,15 @@
 	}
 }
 
+// beforeAttempts returns the error of a call that ends before its first attempt with err: what it
+// waited for does not count if the end of the planned stop ended the wait.
+func (c *forwardedCall) beforeAttempts(err error) error {
+	if c.isFinal() && !fault.Is(err, fault.Cancelled) {
+		return c.Stopped(Unsent).Err
+	}
+	return err
+}
+
 // takeQuota takes the cost of the call from the quota of its client account, if it has one.
 func (c *forwardedCall) takeQuota() (err error) {
 	cost := quota.Cost(c.account.GetQuota(), c.call.InputTokens, c.call.OutputTokens)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -152,7 +152,7 @@
 		g.refuse(w, r, req, refusal)
 		return
 	}
-	defer call.Finish()
+	defer func() { call.Finish(req.broken || r.Context().Err() != nil) }()
 	req.call = call
 	body := &countedBody{ReadCloser: r.Body, bodyLimiter: g.bodyLimiter, account: req.Caller.Account}
 	defer body.release()
@@ -283,6 +283,7 @@
 	}
 	g.logCall(req, resp, err)
 	if err != nil {
+		req.broken = resp.status != 0
 		g.writeError(w, resp, err)
 		return err
 	}
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -77,6 +77,8 @@
 	apiKey string
 	// call is what the graceful shutdown knows of the call.
 	call *shutdown.Call
+	// broken is set if the response has broken off.
+	broken bool
 }
 
 // ServiceClass describes how a call to a plain service must be handled.
--- a/internal/shutdown/guard.go
+++ b/internal/shutdown/guard.go
@@ -43,10 +43,12 @@
 	Running int
 	// Accepted and Refused are the numbers of calls that came later.
 	Accepted, Refused int
-	// Ended is the number of calls that got a final response because the shutdown ended.
-	Ended int
-	// Cut is the number of calls whose response had begun and was cut.
+	// Complete is the number of those that got a complete response, also an error.
+	Complete int
+	// Cut is the number of those that the end of the shutdown cut.
 	Cut int
+	// Left is the number of those whose callers left, or whose responses broke off.
+	Left int
 }
 
 // Guard knows the calls of a process and its graceful shutdown. During the shutdown it accepts a call
@@ -116,7 +118,6 @@
 	for c := range g.calls {
 		if !c.begun && !c.ended {
 			c.endLocked()
-			g.counts.Ended++
 		}
 	}
 }
@@ -129,6 +130,7 @@
 	for c := range g.calls {
 		if c.begun && !c.ended {
 			c.endLocked()
+			c.cut = true
 			g.counts.Cut++
 		}
 	}
@@ -150,8 +152,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.calls {
-		if !c.begun {
-			g.counts.Ended--
+		if !c.cut {
+			c.cut = true
 			g.counts.Cut++
 		}
 	}
@@ -164,6 +166,8 @@
 	// begun is set once the response has begun, and ended once the shutdown has ended the call. Both
 	// are guarded by guard.mu.
 	begun, ended bool
+	// cut is set once the call is counted as cut. It is guarded by guard.mu.
+	cut bool
 }
 
 // endLocked ends the call. The caller must hold guard.mu.
@@ -199,12 +203,19 @@
 	return c.ended
 }
 
-// Finish records that the call has ended.
-func (c *Call) Finish() {
+// Finish records that the call has ended. left is set if its caller left or its response broke off.
+func (c *Call) Finish(left bool) {
 	if c == nil {
 		return
 	}
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
 	delete(c.guard.calls, c)
+	switch {
+	case c.guard.finalAt.IsZero() || c.cut:
+	case left && !c.ended:
+		c.guard.counts.Left++
+	default:
+		c.guard.counts.Complete++
+	}
 }
