--- a/cmd/parsleypulleyd/agent.go
+++ b/cmd/parsleypulleyd/agent.go
@@ -76,10 +76,12 @@
 	if err := p.Serve(agentHandler(a, node.ViewHandler(watchServer, link.RoleAgent), driver), func() error { return agentReady(a) }); err != nil {
 		return err
 	}
+	p.OnStop = a.BeginStop
 	return p.Wait(func(ctx context.Context) {
 		watchServer.Close()
-		if err := a.Drain(ctx); err != nil {
-			event.PlannedStopCutRequests("agent", err)
+		_ = a.Drain(ctx) // its error is that of ctx
+		if n := a.EndedByStop(); n > 0 {
+			event.PlannedStopCutRunning("agent", n)
 		}
 		announcer.AwaitLeave(ctx)
 	})
--- a/internal/gateway/responder.go
+++ b/internal/gateway/responder.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/shutdown"
 )
 
 // statusLimit is greater than all HTTP status codes.
@@ -20,9 +21,12 @@
 
 // responder writes the response to one call. It implements Responder.
 type responder struct {
-	w               http.ResponseWriter
-	rc              *http.ResponseController
-	directory       Directory
+	w         http.ResponseWriter
+	rc        *http.ResponseController
+	directory Directory
+	shutdown  *shutdown.Guard
+	// call is what the graceful shutdown knows of the call; nil if it was not accepted.
+	call            *shutdown.Call
 	callerRequestID string
 	// writeTimeout is the timeout for writing one chunk.
 	writeTimeout time.Duration
@@ -41,7 +45,7 @@
 }
 
 func (g *Gateway) responder(w http.ResponseWriter, callerRequestID string) *responder {
-	return &responder{w: w, rc: http.NewResponseController(w), directory: g.directory, callerRequestID: callerRequestID, writeTimeout: g.Limits.Write}
+	return &responder{w: w, rc: http.NewResponseController(w), directory: g.directory, shutdown: g.shutdown, callerRequestID: callerRequestID, writeTimeout: g.Limits.Write}
 }
 
 // Head implements Responder.
@@ -49,6 +53,9 @@
 	if !ValidStatus(h.Status) {
 		return fault.New(fault.Internal, fault.Unknown, "%d is no status of an answer", h.Status)
 	}
+	if !r.call.Begin() {
+		return shutdown.Unknown()
+	}
 	header := r.w.Header()
 	for name, values := range forwardHeaders(h.Header) {
 		if name == HeaderRequestID || name == "Content-Length" {
@@ -72,6 +79,9 @@
 }
 
 func (r *responder) setCommonHeaders(header http.Header) {
+	if r.shutdown.Stopping() {
+		header.Set("Connection", "close") // the caller's next call goes to another router
+	}
 	header.Set(HeaderRevision, strconv.FormatUint(r.directory.Revision(), 10))
 	if r.callerRequestID != "" {
 		header.Set(HeaderRequestID, r.callerRequestID)
@@ -117,10 +127,22 @@
 
 func (r *responder) json(status int, v any) error {
 	r.setCommonHeaders(r.w.Header())
+	data, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	data = append(data, '\n')
 	r.w.Header().Set("Content-Type", contentTypeJSON)
+	r.w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	r.status = status
 	r.w.WriteHeader(status)
-	return json.NewEncoder(r.w).Encode(v)
+	if _, err := r.w.Write(data); err != nil {
+		return err
+	}
+	if r.shutdown.Stopping() {
+		_ = r.rc.Flush() // the connection may be closed as soon as the call has ended
+	}
+	return nil
 }
 
 // errorBody is the error object in the OpenAI format.
@@ -154,14 +176,25 @@
 	}
 	header := w.Header()
 	if d := e.RetryDelay(); d > 0 {
-		header.Set("Retry-After", strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10))
+		header.Set("Retry-After", strconv.FormatInt(retryAfterSeconds(d), 10))
 		header.Set("Retry-After-Ms", strconv.FormatInt(d.Milliseconds(), 10))
 	}
 	_ = r.json(e.Kind.Response().Status, newErrorResponse(e))
 }
 
+// retryAtOnce is the delay below which Retry-After, which counts whole seconds, says 0: rounded up, it would
+// keep the callers of a router that stops from another router for a second.
+const retryAtOnce = 100 * time.Millisecond
+
+func retryAfterSeconds(d time.Duration) int64 {
+	if d < retryAtOnce {
+		return 0
+	}
+	return int64((d + time.Second - 1) / time.Second)
+}
+
 func (r *responder) writeErrorAfterHead(e *fault.Error) {
-	if !r.sse || e.Kind == fault.Cancelled {
+	if !r.sse || e.Kind == fault.Cancelled || r.call.Ended() {
 		panic(http.ErrAbortHandler)
 	}
 	data, err := json.Marshal(newErrorResponse(e))
--- a/internal/router/stack_test.go
+++ b/internal/router/stack_test.go
@@ -49,7 +49,9 @@
 	quotas *quota.Allocator
 	// outOfReach keeps routers from proposing commands, and from getting units of quotas.
 	outOfReach atomic.Bool
-	ctx        context.Context
+	// commitDelay is the time that the control replica takes for each proposal, in nanoseconds.
+	commitDelay atomic.Int64
+	ctx         context.Context
 }
 
 type testBackend struct {
@@ -57,6 +59,8 @@
 	agent   *agent.Agent
 	engine  *engine.HTTP
 	cancel  context.CancelFunc
+	// link serves the agent's links.
+	link *link.Server
 }
 
 func newStack(t testing.TB) *stack {
@@ -89,13 +93,17 @@
 	return ln
 }
 
-func (s *stack) serveLink(h link.Handler) string { return s.serveLinkOn(s.listen(), h) }
+func (s *stack) serveLink(h link.Handler) string {
+	ln := s.listen()
+	s.serveLinkOn(ln, h)
+	return ln.Addr().String()
+}
 
-func (s *stack) serveLinkOn(ln net.Listener, h link.Handler) string {
+func (s *stack) serveLinkOn(ln net.Listener, h link.Handler) *link.Server {
 	server := link.NewServer(h, nil)
 	go server.Serve(ln)
 	s.t.Cleanup(server.Close)
-	return ln.Addr().String()
+	return server
 }
 
 func (s *stack) apply(c *wire.Command) *wire.CommandResult {
@@ -120,6 +128,7 @@
 		if s.outOfReach.Load() {
 			return fault.New(fault.Unavailable, fault.NotRun, "out of reach")
 		}
+		time.Sleep(time.Duration(s.commitDelay.Load()))
 		result := s.apply(body.Propose.Command)
 		return call.Send(&wire.Response{Body: &wire.Response_ProposeReply{ProposeReply: &wire.ProposeReply{Result: result}}})
 	case *wire.Request_Permits:
@@ -194,7 +203,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	s.serveLinkOn(ln, a)
+	b.link = s.serveLinkOn(ln, a)
 	b.agent = a
 	ctx, cancel := context.WithCancel(s.ctx)
 	b.cancel = cancel
