forward: final answers are written also if the planned stop got no processor time for them

Final answers are due 300 ms before the connections are closed. If both times have passed when the process goes on, the connections were closed first, and callers got no answer. The stop now ends the waiting calls again before it closes connections, and waits up to 100 ms for their answers.

--- a/cmd/parsleypulleyd/control.go
+++ b/cmd/parsleypulleyd/control.go
@@ -55,7 +55,7 @@
 	operatorAPI := &control.OperatorAPI{Name: c.Name, Node: replica.Node, Machine: replica.Machine, Pool: p.Pool, Peers: addressesExcept(c.Control, c.Address())}
 	stopOperatorAPI, err := node.ServeHTTP(p, c.Operator, "operator", maxOperatorConnections, &http.Server{
 		Handler: operator.Handler(operatorAPI, keys), ReadTimeout: operatorReadTimeout, WriteTimeout: operatorWriteTimeout, MaxHeaderBytes: operatorHeaderBytes,
-	})
+	}, nil)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -28,6 +28,10 @@
 // HTTPServer is an http.Server that can be stopped without dropping requests. The Shutdown of
 // http.Server closes a connection without a response if its request is read after Shutdown began.
 type HTTPServer struct {
+	// BeforeCut, if set, is called at the end of a stop before the connections of running requests
+	// are closed.
+	BeforeCut func()
+
 	server   *http.Server
 	listener net.Listener
 	stopping atomic.Bool
@@ -195,8 +199,11 @@
 	}
 }
 
-// cutRunning closes all connections.
+// cutRunning calls BeforeCut and closes all connections.
 func (s *HTTPServer) cutRunning() error {
+	if s.BeforeCut != nil && s.running() > 0 {
+		s.BeforeCut()
+	}
 	s.cut.Store(true)
 	n := s.running()
 	_ = s.server.Close() // fails only if the listener is closed already
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -201,6 +201,16 @@
 	time.AfterFunc(time.Until(times.Ends.Add(-finalAnswerMargin)), f.shutdown.endWaiting)
 }
 
+// AnswerWaiting ends the calls whose response has not begun, and waits until their callers have an
+// answer, at most lateAnswerTime. It is called at the end of the planned stop: a process that got no
+// processor time for longer than finalAnswerMargin has not answered them yet.
+func (f *Forwarder) AnswerWaiting() {
+	f.shutdown.endWaiting()
+	for end := time.Now().Add(lateAnswerTime); f.shutdown.answersDue() && time.Now().Before(end); {
+		time.Sleep(lateAnswerPoll)
+	}
+}
+
 // StopCounts returns the numbers of calls of the planned stop, at its end.
 func (f *Forwarder) StopCounts() event.StopCounts { return f.shutdown.stopCounts() }
 
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -2,7 +2,7 @@
 
 import (
 	"errors"
-	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -148,6 +148,11 @@
 	}
 	c.closeIfStopping()
 	c.w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	body := e.Kind.String() + "\n"
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(status)
-	fmt.Fprintln(c.w, e.Kind)
+	_, _ = io.WriteString(c.w, body)
+	if c.isFinal() { // the connection may be closed as soon as the call has ended
+		_ = http.NewResponseController(c.w).Flush()
+	}
 }
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -26,6 +26,11 @@
 	// finalAnswerMargin is how long before the end of the planned stop the calls whose response
 	// has not begun are ended, so that their callers still get an answer.
 	finalAnswerMargin = 300 * time.Millisecond
+	// lateAnswerTime limits how long the end of the planned stop waits for final answers that are
+	// late, and lateAnswerPoll is the time between two checks. What remains until the process is
+	// killed also covers the log lines of the calls that are cut.
+	lateAnswerTime = 100 * time.Millisecond
+	lateAnswerPoll = time.Millisecond
 	// The durations of answers that did not become complete are remembered for one to two times
 	// unfinishedWindow, so that a rare one does not stand for the route's answers for long.
 	unfinishedWindow = 15 * time.Second
@@ -214,6 +219,18 @@
 	}
 }
 
+// answersDue reports whether calls are running whose response has not begun.
+func (g *shutdownGuard) answersDue() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.calls {
+		if !c.begun {
+			return true
+		}
+	}
+	return false
+}
+
 // beginBody records that the body of a request is read, and ends that at deadline or shortly
 // before the planned stop ends. The returned function must be called once the body is read.
 func (g *shutdownGuard) beginBody(body *http.ResponseController, deadline time.Time) (end func()) {
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -114,18 +114,20 @@
 	go lag.Process.Run(p.Context)
 	return ServeHTTP(p, o.Listen, "outside", maxAPIConnections, &http.Server{
 		Handler: o.Handler(api, views), ReadTimeout: apiReadTimeout, IdleTimeout: apiIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	})
+	}, nil)
 }
 
 // ServeHTTP serves on address with at most maxConnections concurrent connections. It
-// returns the function that stops the server.
-func ServeHTTP(p *daemon.Process, address, name string, maxConnections int, server *http.Server) (func(context.Context), error) {
+// returns the function that stops the server. beforeCut is called before a stop closes the
+// connections of running requests; it may be nil.
+func ServeHTTP(p *daemon.Process, address, name string, maxConnections int, server *http.Server, beforeCut func()) (func(context.Context), error) {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for %s: %w", name, err)
 	}
 	ln = daemon.LimitListener(ln, name, maxConnections)
 	stoppable := daemon.NewHTTPServer(server, ln)
+	stoppable.BeforeCut = beforeCut
 	p.Go(stoppable.Serve)
 	return func(ctx context.Context) {
 		if cut := (*daemon.CutError)(nil); errors.As(stoppable.Stop(ctx), &cut) {
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -104,13 +104,13 @@
 	var stopping atomic.Bool
 	stopReady, err := ServeHTTP(p, o.ReadinessListen, "readiness", maxReadinessConnections, &http.Server{
 		Handler: readinessHandler(o.ReadinessPath, forwarder, &stopping), ReadTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-	})
+	}, nil)
 	if err != nil {
 		return err
 	}
 	stop, err := ServeHTTP(p, o.Listen, "callers", o.MaxConnections, &http.Server{
 		Handler: forwarder, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	})
+	}, forwarder.AnswerWaiting)
 	if err != nil {
 		return err
 	}
