--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -70,6 +70,9 @@
 // NewProcess starts logging and tracing and creates the link pool of a role. It does
 // not listen yet.
 func NewProcess(s *Settings, role string) (*Process, error) {
+	// The default action would end the process before it gets to Wait. Nobody reads the channel:
+	// settings are read anew by those who have registered for the signal themselves.
+	signal.Notify(make(chan os.Signal, 1), syscall.SIGHUP)
 	s.StartLog()
 	flushTraces, err := s.StartTraces(role)
 	if err != nil {
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"os"
+	"os/exec"
 	"syscall"
 	"testing"
 	"time"
@@ -179,3 +180,20 @@
 	is.True(err != nil)
 	is.Equal(err.Error()[:len("listen for links")], "listen for links")
 }
+
+// Guards against a SIGHUP that ends a process which is still starting: its default action does, and a control
+// process may take long to read its files or to wait for room on its disk.
+func TestSIGHUPWhileStartingEndsNothing(t *testing.T) {
+	is := is.New(t)
+	const child = "PARSLEYPULLEY_TEST_STARTING_PROCESS"
+	if os.Getenv(child) != "" {
+		_, err := NewProcess(&Settings{Name: "r1", LogLevel: "error"}, "router")
+		is.NoErr(err)
+		is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		time.Sleep(200 * time.Millisecond)
+		return
+	}
+	cmd := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+	cmd.Env = append(os.Environ(), child+"=1")
+	is.NoErr(cmd.Run())
+}
