--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -4,11 +4,13 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"expvar"
 	"fmt"
 	"maps"
 	"net"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -86,6 +88,13 @@
 	return &Server{handler: handler, tls: tlsConfig, maxCalls: maxCallsPerLink, pingInterval: serverPingInterval, idleTimeout: serverIdleTimeout, sessions: map[*yamux.Session]struct{}{}}
 }
 
+// acceptRetryDelay is the time after which a link is accepted for which there was no descriptor. The
+// peer's connection waits in the backlog of the listener.
+const acceptRetryDelay = 10 * time.Millisecond
+
+// acceptsDelayed counts how often there was no descriptor for a link.
+var acceptsDelayed = expvar.NewInt("link_accepts_delayed")
+
 // Serve accepts links on ln until the server is closed. It returns nil after Close
 // or Shutdown.
 func (s *Server) Serve(ln net.Listener) error {
@@ -105,6 +114,11 @@
 			if errors.Is(err, net.ErrClosed) {
 				return nil
 			}
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				acceptsDelayed.Add(1)
+				time.Sleep(acceptRetryDelay)
+				continue
+			}
 			return fmt.Errorf("accept link: %w", err)
 		}
 		go s.serveConn(conn)
