forward: a response that the end of the planned stop cuts is not counted as complete

The error of writing a whole response that was buffered was dropped, so that a response cut off while its caller read slowly was logged as served, and counted as complete.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -262,7 +262,9 @@
 			c.answered(r)
 		}
 		c.writeHeader(r, int64(len(body)))
-		c.writeBody(body)
+		if err := c.writeBody(body); err != nil {
+			return nil, Step{Err: fault.New(fault.Cancelled, fault.Ran, "the caller has left: %w", err)}
+		}
 		return nil, Step{}
 	}
 	if !c.f.shutdown.beginResponse(c.stop) {
