forward: a stream that goes back without data is not gone on with

An event without data but with a lower ID ("id: 1" after event 3) set the position back on a first attempt: if the stream then broke off, the next server would have repeated events 2 and 3, which now follow the position. Such an event is treated like one with data: the attempt has failed, and the stream goes on elsewhere after event 3.

TestStreamThatGoesBack failed before.

--- a/internal/forward/position.go
+++ b/internal/forward/position.go
@@ -48,7 +48,7 @@
 	joining := p.resuming && !p.joined && p.lastID != ""
 	switch {
 	case !progress:
-		if p.resuming && id != "" && id != p.lastID && (joining || !numbers || number < last) {
+		if id != "" && id != p.lastID && (numbers && number < last || p.resuming && (joining || !numbers)) {
 			return errEventRepeated
 		}
 	case joining && (id == "" || isNumber != lastIsNumber):
--- a/internal/forward/position_test.go
+++ b/internal/forward/position_test.go
@@ -59,3 +59,14 @@
 		})
 	}
 }
+
+// Guards against an attempt that begins a stream and goes back in it: the next server would repeat events.
+func TestStreamThatGoesBack(t *testing.T) {
+	for text, want := range map[string]error{"id: 2\n\n": errEventRepeated, "id: 2\ndata: x\n\n": errEventRepeated, "id: 3\ndata: x\n\n": errEventRepeated, "id: 3\n\n": nil, "id: 4\n\n": nil} {
+		is := is.New(t)
+		p := streamPosition{}
+		p.beginAttempt(false)
+		p.sent([]byte("id: 3\ndata: x\n\n"), "3", true)
+		is.True(errors.Is(p.check([]byte(text), eventID([]byte(text)), hasData([]byte(text))), want))
+	}
+}
