daemon: a stop accepts the connections in the listener's queue before it closes it

Callers that had opened a connection to a stopping process, and sent a request on it, got a reset: closing a listener resets the connections that the kernel has established and the process has not accepted. A process that gets little processor time has many of them.

The stop now waits, for at most 500 ms, until the queue (TCP_INFO of the listener) is empty, and closes the listener right then.

TestStopAcceptsQueuedConnections fails without it ('connection reset by peer', 2 of 2 runs) and passes with it.

--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -8,7 +8,10 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -20,6 +23,11 @@
 	stopSettleTime = 50 * time.Millisecond
 	// stopPoll is the time between two checks whether requests are running.
 	stopPoll = 5 * time.Millisecond
+	// maxQueueWait limits how long a stop waits until the connections in the listener's queue are
+	// accepted, as new ones may keep coming.
+	maxQueueWait = 500 * time.Millisecond
+	// queuePoll is the time between two checks of that queue.
+	queuePoll = time.Millisecond
 	// cutLogTime limits how long a stop waits for the handlers of the requests that it has cut,
 	// so that they can log it before the process ends.
 	cutLogTime = 100 * time.Millisecond
@@ -177,6 +185,7 @@
 // closes them. It returns a *CutError if requests were running when ctx ended.
 func (s *HTTPServer) Stop(ctx context.Context) error {
 	s.stopping.Store(true)
+	s.awaitQueued(ctx)
 	_ = s.listener.Close() // fails only if it is closed already
 	defer s.server.Close()
 	ticker := time.NewTicker(stopPoll)
@@ -199,6 +208,40 @@
 	}
 }
 
+// awaitQueued waits until the connections that the kernel has established are accepted: those that
+// are still queued when the listener is closed are reset, and a process that gets little processor
+// time may have many of them.
+func (s *HTTPServer) awaitQueued(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, maxQueueWait)
+	defer cancel()
+	for queuedConnections(s.listener) > 0 && ctx.Err() == nil {
+		time.Sleep(queuePoll)
+	}
+}
+
+// queuedConnections returns the number of connections in the queue of a listener; 0 if it is not
+// known.
+func queuedConnections(ln net.Listener) int {
+	if l, ok := ln.(stopListener); ok {
+		ln = l.Listener
+	}
+	sc, ok := ln.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	queued := 0
+	_ = raw.Control(func(fd uintptr) { // fails only on a closed listener
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			queued = int(info.Unacked) // on a listener, the length of its queue
+		}
+	})
+	return queued
+}
+
 // cutRunning calls BeforeCut and closes all connections.
 func (s *HTTPServer) cutRunning() error {
 	if s.BeforeCut != nil && s.running() > 0 {
--- a/internal/daemon/httpserver_test.go
+++ b/internal/daemon/httpserver_test.go
@@ -221,3 +221,41 @@
 	is.Equal(n, 0)
 	is.True(err != nil)
 }
+
+// slowListener accepts connections with a delay, as in a process that gets little processor time.
+type slowListener struct {
+	*net.TCPListener
+	delay time.Duration
+}
+
+func (l slowListener) Accept() (net.Conn, error) {
+	time.Sleep(l.delay)
+	return l.TCPListener.Accept()
+}
+
+// Guards against a stop that resets connections which callers have opened but the server has not accepted
+// yet: each of them gets an answer.
+func TestStopAcceptsQueuedConnections(t *testing.T) {
+	const callers = 20
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	slow := slowListener{ln.(*net.TCPListener), 10 * time.Millisecond}
+	s := NewHTTPServer(&http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}, LimitListener(slow, "test", 100))
+	go func() { _ = s.Serve() }()
+	var conns []net.Conn
+	for range callers {
+		c, err := net.Dial("tcp", ln.Addr().String())
+		is.NoErr(err)
+		defer c.Close()
+		conns = append(conns, c)
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		is.NoErr(err)
+	}
+	is.NoErr(s.Stop(t.Context()))
+	for _, c := range conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+	}
+}
--- a/internal/daemon/limit.go
+++ b/internal/daemon/limit.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"errors"
 	"expvar"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 )
 
 // refusedConnections counts the connections closed because of a listener's limit, by
@@ -43,6 +45,14 @@
 	}
 }
 
+// SyscallConn implements syscall.Conn.
+func (l *limitListener) SyscallConn() (syscall.RawConn, error) {
+	if ln, ok := l.Listener.(syscall.Conn); ok {
+		return ln.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
+
 // limitedConn is a connection that counts against the limit of its listener until
 // it is closed.
 type limitedConn struct {
