node: a transfer of leadership uses at most half of a planned stop

By reading (the review of the planned stop): while another replica is live but does not take over, the transfer waited until the stop ended; the requests that ran at the control process were then cut at once. No run has shown it.

The transfer now ends after half of the time that is left, and the listener gets the rest. TestTransferLeavesTimeForTheStop tests the bound alone.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -167,7 +167,18 @@
 	if node.Status().Role != consensus.Leader {
 		return
 	}
-	if err := node.Transfer(ctx); err != nil && !fault.Is(err, fault.NotLeader) {
+	if err := transferWithin(ctx, node.Transfer); err != nil && !fault.Is(err, fault.NotLeader) {
 		event.LeadershipTransferFailed(err)
 	}
 }
+
+// transferWithin runs a transfer for at most half of the time that ctx leaves. A replica that is live but
+// does not take over would else use up the planned stop, and the requests that run would be cut.
+func transferWithin(ctx context.Context, transfer func(context.Context) error) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/2)
+		defer cancel()
+	}
+	return transfer(ctx)
+}
