forward: the end of a server after an event that can't be used is counted

What callers saw: a call that ends backend servers reached more than three of them where servers begin the stream anew instead of going on after Last-Event-Id (5 servers ended, bound 3).

Cause: since an attempt ends at the first event that does not go on with the stream, which the router reads before the end of the connection. Its error is not that of an ended connection, so that nobody checked whether the server had ended, and every second end was not counted.

TestEndsAfterUnusableEventsAreCounted fails before ('5 != 3').

Fix: such an attempt leads to the same check as one whose connection ended: a server that lives is not counted.

--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -193,9 +193,11 @@
 }
 
 // checkCrash finds out whether the backend server of an attempt that broke off has ended,
-// and counts that against the call and the parts of its prompt.
+// and counts that against the call and the parts of its prompt. It may have ended too if the
+// router has broken the attempt off for an event that does not go on with the stream: that is found
+// before the end of the connection.
 func (c *forwardedCall) checkCrash(d *routing.Decision, err error) {
-	if !connectionEnded(err) || c.ctx.Err() != nil {
+	if !connectionEnded(err) && !isUnusableEvent(err) || c.ctx.Err() != nil {
 		return
 	}
 	key := c.quarantineKey()
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -125,6 +125,47 @@
 	}
 }
 
+// Guards against ends of backend servers that are not counted since their last event could not be
+// sent to the caller: the router ends such an attempt before it sees that the connection has ended.
+// A call that ends servers then reached further ones.
+func TestEndsAfterUnusableEventsAreCounted(t *testing.T) {
+	for name, second := range map[string]string{
+		"begins anew":         eventText(1, 1),
+		"leaves an event out": eventText(3, 3),
+		"event without an ID": "data: x\n\n",
+		"document":            "an error\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var ended atomic.Int32
+			var addresses []string
+			for range 6 {
+				var ln net.Listener
+				ready := make(chan struct{})
+				ln = listenBackend(t, func(c net.Conn, r *http.Request) {
+					<-ready
+					ended.Add(1)
+					ln.Close()
+					events := eventText(1, 1)
+					if r.Header.Get("After") != "" {
+						events = second
+					}
+					writeStream(c, r, streamType, events, false)
+				})
+				close(ready)
+				addresses = append(addresses, ln.Addr().String())
+			}
+			r := newFixture(t, forwardRoute(setResumableStream), addresses...)
+			for i := range 3 {
+				_, _, _, _ = r.call("Call", fmt.Sprint("c", i)) // it breaks off, or is refused
+			}
+			is.Equal(ended.Load(), int32(quarantine.SharedCrashLimit))
+			crashes, _ := r.control.counted()
+			is.Equal(crashes, quarantine.SharedCrashLimit)
+		})
+	}
+}
+
 // A backend server that breaks off its answers but lives is not counted against calls.
 func TestBrokenResponsesOfLivingBackendsAreNotCrashes(t *testing.T) {
 	is := is.New(t)
--- a/internal/forward/position.go
+++ b/internal/forward/position.go
@@ -14,6 +14,11 @@
 	errEventSkipped  = errors.New("events are missing before the event ID")
 )
 
+// isUnusableEvent reports whether an error says that an event does not go on with a stream.
+func isUnusableEvent(err error) bool {
+	return errors.Is(err, errNoEvent) || errors.Is(err, errNoEventID) || errors.Is(err, errEventRepeated) || errors.Is(err, errEventSkipped)
+}
+
 // streamPosition is how far the caller has got in a stream whose event IDs increase. It decides
 // whether an event goes on there. An attempt that goes on with a stream is checked more strictly than
 // one that begins it, whose events are the server's own answer in any case.
