control: a change without effect is not logged as a change

What operators saw: 'backend server changed ... KIND_SUSPECT' twice for one suspicion, as if the server had recovered between them; in TestStreamsOnDarkServerGoOnElsewhere 2 suspicions (bound 1).

Cause: the leader has two ways to suspect a server, its failure detector and its checks. A server that goes dark misses heartbeats (900 ms) at about the time at which the leader's check ends, and both propose before either is committed. The state machine accepts the second one without an effect, and the leader logged that too.

TestSuspicionProposedTwiceIsLoggedOnce fails before ('2 != 1').

Fix: the result of a change says whether it had an effect, and only then it is logged. Suspecting is idempotent, so that proposing it twice does no harm.

Beside load the same test also saw suspicions of all servers when their heartbeats, which the test sends, were late (load 77): not changed here.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -211,16 +211,21 @@
 		event.CommandNotCommitted(err)
 		return
 	}
-	change := command.GetBackend()
-	if change == nil {
-		return
+	if change := command.GetBackend(); change != nil {
+		l.recordResult(change, result.GetBackend())
 	}
-	if problem := result.GetBackend().GetProblem(); !result.GetBackend().GetAccepted() {
+}
+
+// recordResult logs the result of a change of a backend server, unless it had no effect: the failure
+// detector and a check of the server may propose the same change before either is committed.
+func (l *leader) recordResult(change *wire.BackendChange, result *wire.BackendResult) {
+	switch {
+	case !result.GetAccepted():
 		l.markRefused(change)
-		event.BackendChangeRefused(change.Name, change.Kind.String(), problem)
-		return
+		event.BackendChangeRefused(change.Name, change.Kind.String(), result.GetProblem())
+	case result.GetChanged():
+		event.BackendChanged(change.Name, change.Kind.String())
 	}
-	event.BackendChanged(change.Name, change.Kind.String())
 }
 
 func (l *leader) markRefused(change *wire.BackendChange) {
--- a/internal/control/reachability_test.go
+++ b/internal/control/reachability_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"github.com/matryer/is"
 
 	"parsleypulley/internal/reach"
@@ -55,6 +57,26 @@
 	}
 }
 
+// Guards against a server that seems to be suspected twice: its heartbeats stay away at the time at which
+// a check does not reach it, and the leader logged both proposals as changes.
+func TestSuspicionProposedTwiceIsLoggedOnce(t *testing.T) {
+	is := is.New(t)
+	logger, logged := log.Log.(*log.Logger), memory.New()
+	before := logger.Handler
+	log.SetHandler(logged)
+	t.Cleanup(func() { log.SetHandler(before) })
+	r := newReplica()
+	r.apply(joinCommand("a", 5))
+	change := &wire.BackendChange{Kind: wire.BackendChange_KIND_SUSPECT, Name: "a", AgentIncarnation: 5}
+	command := backendCommands([]*wire.BackendChange{change})[0]
+	l := &leader{}
+	l.recordResult(change, r.apply(command).GetBackend())
+	is.Equal(len(logged.Entries), 1)
+	is.Equal(r.Log().Snapshot().Member("a").GetState(), wire.BackendState_BACKEND_STATE_SUSPECTED)
+	l.recordResult(change, r.apply(command).GetBackend())
+	is.Equal(len(logged.Entries), 1)
+}
+
 // hangingDialer never opens a connection to addresses other than reachable. It records how many
 // checks run at most at the same time; each has up to two connections.
 type hangingDialer struct {
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -265,13 +265,13 @@
 
 func (s *State) put(member *wire.Member) Outcome {
 	s.members[member.GetBackend().GetName()] = member
-	return Outcome{Result: &wire.BackendResult{Accepted: true}, Member: member}
+	return Outcome{Result: &wire.BackendResult{Accepted: true, Changed: true}, Member: member}
 }
 
 func (s *State) remove(member *wire.Member) Outcome {
 	name := member.GetBackend().GetName()
 	delete(s.members, name)
-	return Outcome{Result: &wire.BackendResult{Accepted: true}, Removed: name}
+	return Outcome{Result: &wire.BackendResult{Accepted: true, Changed: true}, Removed: name}
 }
 
 // Member returns the member called name, or nil.
