reach: a check that ends late is decided by one more connection

What callers saw: beside load a stream of a server that had gone dark stood still for 1.15 s (bound 1 s), one recheck later than the usual 0.65 s.

Cause: a check that ends over 100 ms late, as the router was short of processor time, counts as unknown, and its result is shared for 500 ms from its beginning: the next check could find the silence only then.

Evidence: in a trial that logged each check, the router whose stream paused for 1,155 ms had 'unknown, began 30.605', ended at 30.985 (380 ms), and 'unreachable, began 31.106'; the others found the server unreachable at 30.6 and 30.7. TestCheckThatEndsLate fails before ('unknown != unreachable').

Fix: one further connection is opened when the check has ended late. The machine has answered while the process did not run, or answers now, unless it is dark: 100 ms decide. If that is late too, the result is unknown as before.

--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -19,9 +19,12 @@
 	secondDialAfter = 100 * time.Millisecond
 	// checkTimeout limits a check. It allows for some round trips within a region.
 	checkTimeout = 250 * time.Millisecond
-	// maxOverrun is how much longer than checkTimeout a check may take for its result to
+	// maxOverrun is how much longer than its time-out a check may take for its result to
 	// count. A check of a process that was paused meanwhile says nothing about its peer.
 	maxOverrun = 100 * time.Millisecond
+	// lateCheckTimeout limits the connection that decides after a check that has ended late. It allows
+	// for a round trip within a region.
+	lateCheckTimeout = 100 * time.Millisecond
 	// ShareFor is how long after the beginning of a check a Monitor returns its result instead
 	// of running another one.
 	ShareFor = 500 * time.Millisecond
@@ -58,52 +61,71 @@
 }
 
 // Check opens up to two connections to address, 100 ms apart, and closes them. The address
-// is reachable if one of them is established or refused within 250 ms.
+// is reachable if one of them is established or refused within 250 ms. If the process was paused meanwhile,
+// a third one decides within 100 ms.
 func Check(ctx context.Context, address string) Result {
 	return CheckWith(ctx, &net.Dialer{}, address)
 }
 
 // CheckWith is Check with connections of dialer.
 func CheckWith(ctx context.Context, dialer Dialer, address string) Result {
-	began := time.Now()
-	dialCtx, cancel := context.WithTimeout(ctx, checkTimeout)
+	return check(ctx, dialer, address, time.Now)
+}
+
+// check is CheckWith with a clock. If the check ends late, one more connection decides: while this
+// process did not run, it may have missed the answer.
+func check(ctx context.Context, dialer Dialer, address string, now func() time.Time) Result {
+	result, late := dialWithin(ctx, dialer, address, checkTimeout, 2, now)
+	if late && result == Unreachable {
+		result, late = dialWithin(ctx, dialer, address, lateCheckTimeout, 1, now)
+	}
+	if result == Unreachable && (late || ctx.Err() != nil) {
+		return Unknown
+	}
+	return result
+}
+
+// dialWithin opens up to the given number of connections, one or two, and waits for them until timeout.
+// late is set if this process took more than maxOverrun longer than that.
+func dialWithin(ctx context.Context, dialer Dialer, address string, timeout time.Duration, dials int, now func() time.Time) (result Result, late bool) {
+	began := now()
+	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	results := make(chan Result, 2)
+	results := make(chan Result, dials)
 	dial := func() { results <- dialOnce(dialCtx, dialer, address) }
 	go dial()
 	second := time.NewTimer(secondDialAfter)
 	defer second.Stop()
-	result := Unreachable
-	for open, started := 1, 1; open > 0 || started < 2; {
+	result = Unreachable
+	for open, started := 1, 1; open > 0 || started < dials; {
 		select {
 		case r := <-results:
 			open--
 			if r == Reachable {
-				return Reachable
+				return Reachable, false
 			}
 			if r == Unknown {
 				result = Unknown
 			}
 		case <-second.C:
-			started++
-			open++
-			go dial()
+			if started < dials {
+				started++
+				open++
+				go dial()
+			}
 		case <-dialCtx.Done():
 			// A dialer that does not return by itself must not hold up the check.
-			started, open = 2, 0
+			started, open = dials, 0
 		}
 	}
 	select {
 	case r := <-results: // established at the same time as the time-out
 		if r == Reachable {
-			return Reachable
+			return Reachable, false
 		}
 	default:
 	}
-	if ctx.Err() != nil || time.Since(began) > checkTimeout+maxOverrun {
-		return Unknown
-	}
-	return result
+	return result, now().Sub(began) > timeout+maxOverrun
 }
 
 // dialOnce opens and closes a connection.
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -82,6 +82,47 @@
 	}
 }
 
+// Guards against a check that says nothing since this process was short of processor time: streams of a dark
+// server stood still until the next check, 1.15 s in all. A process that was paused for longer must not
+// take a server that answers for a dark one.
+func TestCheckThatEndsLate(t *testing.T) {
+	const hangs = -1
+	type pause struct{ at, length time.Duration }
+	dark := dialStep{delay: hangs}
+	for name, test := range map[string]struct {
+		steps  []dialStep
+		pauses []pause
+		want   Result
+		took   time.Duration
+	}{
+		"dark, a little late":      {[]dialStep{dark}, []pause{{200 * time.Millisecond, maxOverrun}}, Unreachable, checkTimeout},
+		"dark, late":               {[]dialStep{dark}, []pause{{200 * time.Millisecond, 130 * time.Millisecond}}, Unreachable, checkTimeout + lateCheckTimeout},
+		"dark, late twice":         {[]dialStep{dark}, []pause{{200 * time.Millisecond, 130 * time.Millisecond}, {300 * time.Millisecond, 130 * time.Millisecond}}, Unknown, checkTimeout + lateCheckTimeout},
+		"answers missed, late":     {[]dialStep{dark, dark, {delay: 90 * time.Millisecond}}, []pause{{200 * time.Millisecond, 10 * time.Second}}, Reachable, checkTimeout + 90*time.Millisecond},
+		"no file descriptors":      {[]dialStep{dark, {0, syscall.EMFILE}, dark}, []pause{{200 * time.Millisecond, 130 * time.Millisecond}}, Unknown, checkTimeout},
+		"no file descriptors then": {[]dialStep{dark, dark, {0, syscall.EMFILE}}, []pause{{200 * time.Millisecond, 130 * time.Millisecond}}, Unknown, checkTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				began := time.Now()
+				now := func() time.Time {
+					at := time.Now()
+					paused := time.Duration(0)
+					for _, p := range test.pauses {
+						if at.Sub(began) >= p.at {
+							paused += p.length
+						}
+					}
+					return at.Add(paused)
+				}
+				is.Equal(check(context.Background(), &fakeDialer{steps: test.steps}, "a", now), test.want)
+				is.Equal(time.Since(began), test.took)
+			})
+		})
+	}
+}
+
 // Guards against a check that is broken off by its caller and counts as silence.
 func TestCancelledCheckIsUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
