--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -19,6 +19,7 @@
 	"parsleypulley/internal/recovery"
 	"parsleypulley/internal/routes"
 	"parsleypulley/internal/routing"
+	"parsleypulley/internal/shutdown"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -83,7 +84,7 @@
 	minTransferTokens = 256
 	// shutdownRetryAfter is the Retry-After time that a stopping router returns.
 	// Callers retry at another router.
-	shutdownRetryAfter = 20 * time.Millisecond
+	shutdownRetryAfter = shutdown.RetryAfter
 	// startRetryAfter is the Retry-After time of a router that has started and has no
 	// route table yet: the time in which replicas that have restarted too elect a
 	// leader and routers get its view. Callers that came back sooner would be refused
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -12,6 +12,7 @@
 	"parsleypulley/internal/daemon"
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/shutdown"
 	"parsleypulley/internal/wire"
 )
 
@@ -25,7 +26,7 @@
 	durationMargin = 1.25
 	// finalAnswerMargin is how long before the end of the planned stop the calls whose response
 	// has not begun are ended, so that their callers still get an answer.
-	finalAnswerMargin = 300 * time.Millisecond
+	finalAnswerMargin = shutdown.FinalMargin
 	// lateAnswerTime limits how long the end of the planned stop waits for final answers that are
 	// late, and lateAnswerPoll is the time between two checks. What remains until the process is
 	// killed also covers the log lines of the calls that are cut.
--- a/internal/shutdown/guard.go
+++ b/internal/shutdown/guard.go
@@ -13,7 +13,7 @@
 
 const (
 	// FinalMargin is the time between the final responses and the end of the shutdown, in which they
-	// are written. Reading of bodies on the path by routes ends by the same margin.
+	// are written. Both request paths keep to it.
 	FinalMargin = 300 * time.Millisecond
 	// RetryAfter is the time after which a caller may send a refused call to another router.
 	RetryAfter = 20 * time.Millisecond
