agent: a crash is recognized when health checks overlap

Such a crash is not reported to control, so that it does not count as evidence against the request (quarantine). Cause: after a broken connection the agent runs a health check and compared the incarnation that is recorded. If a later check is refused before the restart, and the agent's own one is answered by the new run, the own result is not recorded, since it is the older one; the record still names the crashed run, and the engine is taken for one that goes on. Ruled out: an answer of the crashed run, since the stand-in aborts what begins after the crash. Change: the check returns the incarnation that answered it, and both this and the record must name the run of the request. Evidence: TestCrashIsFoundWhenHealthChecksOverlap fails before in one of its five orders of the checks.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -183,11 +183,13 @@
 	if err.Kind != fault.StreamBroken && err.Kind != fault.BackendRefused {
 		return err
 	}
-	alive := a.checkHealth(a.ctx)
+	// The recorded status alone is not enough: a later check that has failed before this one was
+	// answered leaves the incarnation of the crashed run in it.
+	incarnation := a.checkHealth(a.ctx)
 	if err.Kind == fault.BackendRefused {
 		return err
 	}
-	if alive && a.Status().Incarnation == t.Incarnation {
+	if incarnation == t.Incarnation && a.Status().Incarnation == t.Incarnation {
 		return err
 	}
 	return fault.New(fault.BackendCrashed, err.Outcome, "the backend server crashed: %w", err)
--- a/internal/agent/watch.go
+++ b/internal/agent/watch.go
@@ -49,23 +49,26 @@
 	a.streams.expire(time.Now())
 }
 
-// checkHealth runs a health check, records its result and reports whether the
-// backend server is healthy. If checks overlap, the result of an earlier one does
-// not overwrite that of a later one.
-func (a *Agent) checkHealth(ctx context.Context) bool {
+// checkHealth runs a health check, records its result and returns the incarnation
+// that answered it, or 0 if the check failed. If checks overlap, the result of an
+// earlier one does not overwrite that of a later one.
+func (a *Agent) checkHealth(ctx context.Context) (incarnation uint64) {
 	number := a.healthChecks.Add(1)
 	startedAt := time.Now()
 	checkCtx, cancel := context.WithTimeout(ctx, healthTimeout)
 	defer cancel()
 	health, err := a.engine.Health(checkCtx)
 	if ctx.Err() != nil {
-		return false
+		return 0
+	}
+	if err == nil {
+		incarnation = health.Incarnation
 	}
 	defer a.readNotices()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if number < a.lastHealthCheck {
-		return err == nil
+		return incarnation
 	}
 	a.lastHealthCheck = number
 	previous := a.gate.Status()
@@ -79,7 +82,7 @@
 		if since := time.Now().Add(-a.config.Timings.StallTimeout); !a.downSince.IsZero() && !a.downSince.After(since) {
 			a.streams.cancelStalled(since)
 		}
-		return false
+		return 0
 	}
 	a.health = *health
 	models := loadedModels(health.Models)
@@ -93,7 +96,7 @@
 		event.BackendUp(a.config.Name, health.Incarnation, len(models))
 		a.TriggerAnnounce()
 	}
-	return true
+	return incarnation
 }
 
 func loadedModels(models []dialect.Model) []*wire.LoadedModel {
