forward: a stalled stream is ended only if its call can go on elsewhere

What callers saw: streams of busy but sound backend servers were broken off, or answered with 502 while time was left. Cause: the bound of a stall is an estimate from past pauses. It ended the attempt also where no other could follow: the route can't be resumed, the attempts are used up, the retry budget is spent, or there is no other server. It is the class of fault of the planned stop's prediction: a promise to a caller that rests on an estimate. Change: an attempt is ended as stalled only if another one may follow (RetryState.MayFollow), a server can be selected for it (Router.CanChoose), and a retry is taken from the budget at that moment. The log names attempts that the router has ended `stalled` or `unreachable` instead of `broken`.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -103,22 +103,38 @@
 	}
 	countAttempt(c.backend, fail.outcome.String())
 	c.f.selector.failed(d, c.failureKind(fail.outcome))
-	c.outcomes = append(c.outcomes, fmt.Sprintf("%s:%s", c.backend, fail.outcome))
+	c.outcomes = append(c.outcomes, fmt.Sprintf("%s:%s", c.backend, c.outcomeText(fail.outcome)))
 	event.ForwardAttemptFailed(event.Attempt{Request: c.call.ID, Backend: c.backend, Address: d.Backend.GetAddress(), Number: c.AttemptCount(),
-		ViewVersion: c.snapshot.Version}, fail.outcome.String(), fail.err)
-	return c.Next(now, fail.outcome, func() bool { return c.f.selector.tryRetry(c.service) })
+		ViewVersion: c.snapshot.Version}, c.outcomeText(fail.outcome), fail.err)
+	retryTaken := errors.Is(context.Cause(c.ctx), errStalled) && c.watched.retryTaken
+	return c.Next(now, fail.outcome, func() bool { return retryTaken || c.f.selector.tryRetry(c.service) })
 }
 
 // watch starts to watch an attempt.
 func (c *forwardedCall) watch(d *routing.Decision, cancel context.CancelCauseFunc) {
 	c.watched = &watchedAttempt{backend: d.Backend, request: c.call.ID, cancel: cancel,
-		watch: attemptWatch{deadline: c.Deadline, predicted: d.Wait + d.Prefill, stream: c.route.GetStream(), repeatable: c.Idempotent}}
+		takeRetry: func(next *routing.Request) bool { return c.f.selector.takeRetry(c.service, c.call.Model, next) },
+		watch:     attemptWatch{deadline: c.Deadline, predicted: d.Wait + d.Prefill, stream: c.route.GetStream()}}
 	if c.route.GetStream() {
 		c.watched.pauses = c.f.silence.pauses.of(c.route.GetName())
+		c.allowNext()
 	}
 	c.f.silence.begin(c.watched)
 }
 
+// allowNext tells the watch of the current attempt whether another one may follow it now, and where.
+func (c *forwardedCall) allowNext() {
+	c.watched.allowNext(c.MayFollow(), *c.routingRequest())
+}
+
+// routingRequest returns the request for the backend server of the next attempt.
+func (c *forwardedCall) routingRequest() *routing.Request {
+	return &routing.Request{
+		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: c.triedBackends, Urgency: urgencyOf(c.route, c.account),
+		SoftwareVersion: c.softwareVersion, BoundToSoftware: c.bound,
+	}
+}
+
 // recordPause records the time between two events of the call, also of different attempts.
 func (c *forwardedCall) recordPause(now time.Time) {
 	if !c.lastEventAt.IsZero() {
@@ -130,10 +146,7 @@
 // selectBackend selects the backend server for an attempt. If that takes permits, it waits
 // for them for a short time.
 func (c *forwardedCall) selectBackend() (*routing.Decision, error) {
-	req := &routing.Request{
-		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: c.triedBackends, Urgency: urgencyOf(c.route, c.account),
-		SoftwareVersion: c.softwareVersion, BoundToSoftware: c.bound,
-	}
+	req := c.routingRequest()
 	d, err := c.f.selector.selectBackend(c.call.Model, req, c.startLimits())
 	if errors.Is(err, routing.ErrPermitsNeeded) {
 		c.f.permits.refresh(c.callCtx)
@@ -327,7 +340,8 @@
 // result is as for runAttempt.
 func (c *forwardedCall) forwardStream(d *routing.Decision, r *response) (*failure, Step) {
 	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer)}
-	started := false
+	// started is set after the first event with data, and delivered after the first event of any kind.
+	started, delivered := false, false
 	c.position.beginAttempt(c.headerWritten)
 	var gaps routing.GapSampler
 	defer func() { c.f.selector.eventGap(d, gaps.End()) }()
@@ -380,7 +394,10 @@
 			return nil, Step{Err: fault.New(fault.Cancelled, fault.Ran, "the caller has left: %w", err)}
 		}
 		c.position.sent(event, id, progress)
-		c.Resumable = c.route.GetResumable() && !c.position.unknown
+		if resumable := c.route.GetResumable() && !c.position.unknown; resumable != c.Resumable || !delivered {
+			c.Resumable, delivered = resumable, true
+			c.allowNext()
+		}
 		c.refreshRecord(time.Now())
 		if progress {
 			c.f.selector.eventGap(d, gaps.Event(now))
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -192,6 +192,12 @@
 	return s.canSend(now)
 }
 
+// MayFollow reports whether another attempt may follow the one that is running, if that one may have
+// been executed.
+func (s *RetryState) MayFollow() bool {
+	return s.Idempotent && s.possibleExecutions+1 < s.MaxAttempts && s.attempts < s.MaxAttempts+extraAttempts && (!s.delivered || s.Resumable)
+}
+
 // giveUp returns the final step of a call that is not tried again.
 func (s *RetryState) giveUp(now time.Time, outcome Outcome) Step {
 	switch {
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -206,6 +206,16 @@
 	return sel.budgetFor(service).tryWithdraw(now, sel.router.RequestShare())
 }
 
+// takeRetry reports whether a backend server could be selected for another attempt of a call, and if
+// so counts a retry, unless the budget of the service is used up.
+func (sel *backendSelector) takeRetry(service, model string, req *routing.Request) bool {
+	sel.mu.Lock()
+	defer sel.mu.Unlock()
+	now := sel.clock()
+	req.MinWeightsVersion, req.PreferredWeightsVersion = sel.weightsVersions(now, model)
+	return sel.router.CanChoose(now, req) && sel.budgetFor(service).tryWithdraw(now, sel.router.RequestShare())
+}
+
 func (sel *backendSelector) budgetFor(service string) *retryBudget {
 	b := sel.budgets[service]
 	if b == nil {
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -11,6 +11,7 @@
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/reach"
+	"parsleypulley/internal/routing"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -24,8 +25,9 @@
 )
 
 // silence counts checks of backend servers by result, attempts that ended as their backend
-// server was unreachable ("attempts_ended"), streams ended as stalled ("stalled"), and results
-// that were not used since something arrived from the backend server meanwhile ("contradicted").
+// server was unreachable ("attempts_ended"), streams ended as stalled ("stalled"), how often one was
+// not ended as its call could not go on elsewhere ("stalled_kept"), and results that were not used
+// since something arrived from the backend server meanwhile ("contradicted").
 var silence = expvar.NewMap("forward_silence")
 
 var (
@@ -78,13 +80,21 @@
 	// pauses is nil unless the response is a stream.
 	pauses *routePauses
 	cancel context.CancelCauseFunc
+	// takeRetry reports whether another backend server can take the request that would follow,
+	// and if so takes a retry from the budget. It is called while mu is held.
+	takeRetry func(*routing.Request) bool
 	// conn is the connection in use; nil before there is one.
 	conn atomic.Pointer[conn]
 	// lost is shared by the attempts that end for the same reason; nil if the attempt has not
 	// been ended by the guard. It must not be read before the attempt's context has ended.
 	lost *lostServer
+	// retryTaken is set if the attempt was ended as stalled and takeRetry has taken a retry. It
+	// must not be read before the attempt's context has ended.
+	retryTaken bool
 
-	mu    sync.Mutex
+	mu sync.Mutex
+	// next is the request for the backend server of the attempt that would follow.
+	next  routing.Request
 	watch attemptWatch
 	timer *time.Timer
 	// ended is set once the attempt has ended or is being ended.
@@ -135,6 +145,13 @@
 	a.watch.stream = false
 }
 
+// allowNext records whether another attempt may follow, and the request for its backend server.
+func (a *watchedAttempt) allowNext(allowed bool, next routing.Request) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.watch.repeatable, a.next = allowed, next
+}
+
 // wait records that the router waits for progress of the attempt.
 func (a *watchedAttempt) wait(now time.Time) {
 	a.mu.Lock()
@@ -169,8 +186,12 @@
 	silentSince := a.watch.waitingSince
 	action, next := a.watch.tick(now, a.pauses.usualPauses)
 	pause, sentFor, started := now.Sub(a.watch.waitingSince), now.Sub(a.watch.sentAt), a.watch.started
+	if action == endStalled && !a.takeRetry(&a.next) {
+		silence.Add("stalled_kept", 1)
+		action, next = a.watch.keep(now, a.pauses.usualPauses)
+	}
 	if action == endStalled {
-		a.ended = true
+		a.ended, a.retryTaken = true, true
 	}
 	if action == keepWaiting {
 		a.timer.Reset(next.Sub(now))
@@ -310,6 +331,19 @@
 	return errors.Is(cause, errUnreachable) || errors.Is(cause, errStalled)
 }
 
+// outcomeText returns the outcome of the current attempt for the log. An attempt that the router has
+// ended did not break off.
+func (c *forwardedCall) outcomeText(outcome Outcome) string {
+	switch cause := context.Cause(c.ctx); {
+	case outcome != InvalidResponse:
+	case errors.Is(cause, errStalled):
+		return "stalled"
+	case errors.Is(cause, errUnreachable):
+		return "unreachable"
+	}
+	return outcome.String()
+}
+
 // failureKind returns the kind of failure that routing gets for the outcome of the current
 // attempt. Of all attempts that end with an unreachable backend server only one counts as its
 // failure, as for a failed connection, or the breaker would stay open for as many failures.
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"parsleypulley/internal/routing"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -212,6 +213,115 @@
 	}
 }
 
+// Guards against sound streams that the router ends since their server is silent for long, though
+// their calls can't go on at another server.
+func TestSilentStreamsThatCanNotGoOnElsewhereAreKept(t *testing.T) {
+	const pause = 2200 * time.Millisecond // longer than the bound of a stall
+	slow := func(c net.Conn, r *http.Request) {
+		writeEvents(c, r, 1, 3, false)
+		time.Sleep(pause)
+		fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(eventsText(4, 5)), eventsText(4, 5))
+	}
+	late := func(c net.Conn, r *http.Request) {
+		time.Sleep(pause)
+		writeEvents(c, r, 1, 5, true)
+	}
+	breaksOff := func(c net.Conn, r *http.Request) { writeEvents(c, r, 1, 2, false) }
+	for name, test := range map[string]struct {
+		route func(*wire.ForwardRoute)
+		// first and others handle the first request and those that follow.
+		first, others backendScript
+		servers       int
+		budget        RetryBudgetLimits
+		stopping      bool
+		attempts      int32
+	}{
+		"route not resumable":                         {route: func(r *wire.ForwardRoute) { r.Resumable = false }, first: slow, servers: 2, attempts: 1},
+		"no other server":                             {first: slow, servers: 1, attempts: 1},
+		"no other server, before the first event":     {first: late, servers: 1, attempts: 1},
+		"one attempt allowed":                         {route: func(r *wire.ForwardRoute) { r.Attempts = 1 }, first: slow, servers: 2, attempts: 1},
+		"one attempt allowed, before the first event": {route: func(r *wire.ForwardRoute) { r.Attempts = 1 }, first: late, servers: 2, attempts: 1},
+		"retry budget used up":                        {budget: RetryBudgetLimits{Window: time.Second}, first: slow, servers: 2, attempts: 1},
+		"last attempt": {first: breaksOff, others: func(c net.Conn, r *http.Request) {
+			writeEvents(c, r, 3, 3, false)
+			time.Sleep(pause)
+			fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(eventsText(4, 5)), eventsText(4, 5))
+		}, servers: 3, attempts: 2},
+		"planned stop, no other server": {first: slow, servers: 1, stopping: true, attempts: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var attempts atomic.Int32
+			script := func(c net.Conn, r *http.Request) {
+				if attempts.Add(1) == 1 || test.others == nil {
+					test.first(c, r)
+				} else {
+					test.others(c, r)
+				}
+			}
+			var servers []string
+			for range test.servers {
+				servers = append(servers, startBackend(t, script))
+			}
+			route := forwardRoute(func(r *wire.ForwardRoute) {
+				setResumableStream(r)
+				r.TimeoutMs = 5000
+				if test.route != nil {
+					test.route(r)
+				}
+			})
+			r := newFixtureWith(t, func(o *Options) {
+				if test.budget != (RetryBudgetLimits{}) {
+					o.Budget = test.budget
+				}
+			}, route, servers...)
+			pauses := r.f.silence.pauses.of("r")
+			pauses.recordPauses(time.Now(), 20*time.Millisecond, minPauses)
+			for range minFirstEvents {
+				pauses.recordFirst(time.Now(), 20*time.Millisecond)
+			}
+			if test.stopping {
+				now := time.Now()
+				r.f.BeginShutdown(StopTimes{Began: now, ListenerCloses: now.Add(2 * time.Second), Ends: now.Add(10 * time.Second)})
+			}
+			status, body, _, err := r.call()
+			is.NoErr(err)
+			is.Equal(status, 200)
+			is.Equal(body, eventsText(1, 5))
+			is.Equal(attempts.Load(), test.attempts)
+		})
+	}
+}
+
+// Guards against a retry that a stalled stream takes from the budget twice, or though no other server
+// can be selected.
+func TestStalledStreamTakesOneRetry(t *testing.T) {
+	is := is.New(t)
+	budget := func(o *Options) {
+		o.Budget = RetryBudgetLimits{ExtraRetries: 2, Window: time.Minute, Routers: 1} // half of them for each of two routers, until more is known
+	}
+	sel := newFixtureWith(t, budget, forwardRoute(nil), "10.0.0.1:80").f.selector
+	is.True(!sel.takeRetry("lab", "", &routing.Request{Service: "lab", Tried: []string{"b0"}}))
+	is.True(!sel.takeRetry("lab", "", &routing.Request{Service: "lab", BoundToSoftware: true, SoftwareVersion: "other"}))
+	is.True(sel.takeRetry("lab", "", &routing.Request{Service: "lab"}))
+	is.True(!sel.takeRetry("lab", "", &routing.Request{Service: "lab"}))
+
+	var attempts atomic.Int32
+	script := func(c net.Conn, r *http.Request) {
+		if attempts.Add(1) == 1 {
+			hang(c)
+		}
+		writeEvents(c, r, 1, 5, true)
+	}
+	f := newFixtureWith(t, budget, forwardRoute(setResumableStream), startBackend(t, script), startBackend(t, script))
+	status, body, _, err := f.call()
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, eventsText(1, 5))
+	is.Equal(attempts.Load(), int32(2))
+}
+
 // Guards against a check for each of many attempts at one dark server, a retry storm when it is
 // lost, calls that are sent to it later, and a report for each attempt.
 func TestManyStreamsOnDarkServer(t *testing.T) {
@@ -286,7 +396,8 @@
 	var took atomic.Int64
 	context.AfterFunc(ctx, func() { took.Store(int64(time.Since(began))) })
 	w.deadline = began.Add(time.Minute)
-	a = &watchedAttempt{backend: &wire.Backend{Name: name, Address: address, AgentIncarnation: 4}, cancel: cancel, watch: w}
+	a = &watchedAttempt{backend: &wire.Backend{Name: name, Address: address, AgentIncarnation: 4}, cancel: cancel, watch: w,
+		takeRetry: func(*routing.Request) bool { return true }}
 	g.begin(a)
 	return a, func() (time.Duration, error) { return time.Duration(took.Load()), context.Cause(ctx) }
 }
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -41,7 +41,8 @@
 	// checkServer means that it has to be checked whether the backend server's machine
 	// answers.
 	checkServer
-	// endStalled means that the attempt makes no progress and has to be ended.
+	// endStalled means that the attempt makes no progress, and is to be ended if the call can go
+	// on elsewhere.
 	endStalled
 )
 
@@ -61,9 +62,9 @@
 	// by routing.
 	deadline  time.Time
 	predicted time.Duration
-	// stream is set if the response is a stream, and repeatable if the call may be executed
-	// again. Other attempts are not ended before their first event, as that could only lose
-	// the call.
+	// stream is set if the response is a stream, and repeatable if another attempt may follow
+	// in the present state of the call. Other attempts are never ended: the bound of a stall is
+	// an estimate, and to end them could only lose the call.
 	stream, repeatable bool
 
 	// started is set once the first event has come.
@@ -79,6 +80,9 @@
 	checkedAt time.Time
 	// due is when the next Tick is due.
 	due time.Time
+	// keepUntil is the time before which the attempt is not ended, as the call could not go on
+	// elsewhere when it was to be ended last.
+	keepUntil time.Time
 }
 
 // begin records that the attempt is sent, and returns when Tick is due.
@@ -117,26 +121,34 @@
 		return keepWaiting, w.due
 	}
 	usual := usualPauses(now)
+	if stalledAt, ok := w.stalledAt(usual); ok && !late && !now.Before(stalledAt) {
+		return endStalled, time.Time{}
+	}
 	action := keepWaiting
 	if !now.Before(w.checkDue()) {
 		action, w.checkedAt = checkServer, now
 	}
 	if late {
 		w.waitingSince = now
-	} else if bound, ok := w.stallBound(usual); ok && now.Sub(w.waitingSince) >= bound {
-		return endStalled, time.Time{}
 	}
 	// An event may come before the first check is due, after which the next is due sooner.
 	w.due = now.Add(silenceBeforeCheck)
 	if next := w.checkDue(); next.Before(w.due) {
 		w.due = next
 	}
-	if bound, ok := w.stallBound(usual); ok && w.waitingSince.Add(bound).Before(w.due) {
-		w.due = w.waitingSince.Add(bound)
+	if stalledAt, ok := w.stalledAt(usual); ok && stalledAt.Before(w.due) {
+		w.due = stalledAt
 	}
 	return action, w.due
 }
 
+// keep records that a stalled attempt goes on, as the call can't go on elsewhere now. It returns
+// what tick would.
+func (w *attemptWatch) keep(now time.Time, usualPauses func(now time.Time) usualPauses) (watchAction, time.Time) {
+	w.keepUntil, w.due = now.Add(recheckInterval), now
+	return w.tick(now, usualPauses)
+}
+
 // checked records the end of a check that began at a given time, perhaps for another attempt, and
 // returns when to call tick next. The next check counts from that beginning: the machine may have
 // gone dark right after it.
@@ -168,13 +180,23 @@
 	return max(silenceBeforeCheck, firstEventTolerance*w.predicted)
 }
 
+// stalledAt returns when the attempt is to be ended if it makes no progress until then. ok is false
+// if it is not.
+func (w *attemptWatch) stalledAt(usual usualPauses) (at time.Time, ok bool) {
+	bound, ok := w.stallBound(usual)
+	if at = w.waitingSince.Add(bound); at.Before(w.keepUntil) {
+		at = w.keepUntil
+	}
+	return at, ok
+}
+
 // stallBound returns the time without progress after which the stream of a reachable backend
 // server is stalled. ok is false if there is no such time. A shorter one than
 // silenceBeforeCheck counts as that.
 func (w *attemptWatch) stallBound(usual usualPauses) (bound time.Duration, ok bool) {
 	half := w.deadline.Sub(w.waitingSince) / 2
 	switch {
-	case !w.stream:
+	case !w.stream || !w.repeatable:
 		return 0, false
 	case w.started:
 		longest := max(usual.between, w.longest)
@@ -182,7 +204,7 @@
 			return 0, false
 		}
 		return min(half, max(minStall, stallFactor*longest)), true
-	case !w.repeatable || float64(half) < minUsableShare*float64(usual.first):
+	case float64(half) < minUsableShare*float64(usual.first):
 		return 0, false
 	case usual.first > 0:
 		half = min(half, max(minStall, stallFactor*usual.first))
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -137,6 +137,23 @@
 	return d, nil
 }
 
+// CanChoose reports whether there is a backend server for an attempt, with room in its limit and not
+// one that wants no requests now. It changes nothing.
+func (r *Router) CanChoose(now time.Time, req *Request) bool {
+	p := r.pools[poolKey{req.Service, req.Model, req.WeightsVersion, req.Adapter}]
+	if p == nil {
+		return false
+	}
+	for _, g := range []group{p.ready, p.fallback} {
+		for _, s := range g.servers {
+			if s.eligible(now, req) && r.hasRoom(now, s, req) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // newPrompt returns the prompt of a request. Of more than maxLevels levels the
 // shallowest are left out.
 func newPrompt(req *Request) prompt {
