forward: only a response that has begun outlasts the bound of a stall

A caller that has received nothing waited for its deadline, where it had got 502 and come back while time was left. Change: that caller gets 502 as before if no other attempt can follow. An attempt is kept at a silent server only if its caller has received a part of the response, the case in which to end it cuts a sound answer. TestStalledStreamTakesOneRetry now cuts a stream that has begun.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -117,14 +117,20 @@
 		watch:     attemptWatch{deadline: c.Deadline, predicted: d.Wait + d.Prefill, stream: c.route.GetStream()}}
 	if c.route.GetStream() {
 		c.watched.pauses = c.f.silence.pauses.of(c.route.GetName())
-		c.allowNext()
+		c.allowEndOfStalled()
 	}
 	c.f.silence.begin(c.watched)
 }
 
-// allowNext tells the watch of the current attempt whether another one may follow it now, and where.
-func (c *forwardedCall) allowNext() {
-	c.watched.allowNext(c.MayFollow(), *c.routingRequest())
+// allowEndOfStalled tells the watch of the current attempt whether it may be ended when it stalls. A
+// caller that has received nothing gets 502 then if no other attempt can follow, and may come back
+// while time is left. One that has received a part would lose the rest.
+func (c *forwardedCall) allowEndOfStalled() {
+	allowed := c.Idempotent
+	if c.headerWritten {
+		allowed = c.MayFollow()
+	}
+	c.watched.allowEnd(allowed, c.headerWritten, *c.routingRequest())
 }
 
 // routingRequest returns the request for the backend server of the next attempt.
@@ -396,7 +402,7 @@
 		c.position.sent(event, id, progress)
 		if resumable := c.route.GetResumable() && !c.position.unknown; resumable != c.Resumable || !delivered {
 			c.Resumable, delivered = resumable, true
-			c.allowNext()
+			c.allowEndOfStalled()
 		}
 		c.refreshRecord(time.Now())
 		if progress {
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -81,18 +81,21 @@
 	pauses *routePauses
 	cancel context.CancelCauseFunc
 	// takeRetry reports whether another backend server can take the request that would follow,
-	// and if so takes a retry from the budget. It is called while mu is held.
+	// and if so takes a retry from the budget. It is called while mu is held, before the attempt
+	// of a call that has received a part of its response is ended as stalled.
 	takeRetry func(*routing.Request) bool
 	// conn is the connection in use; nil before there is one.
 	conn atomic.Pointer[conn]
 	// lost is shared by the attempts that end for the same reason; nil if the attempt has not
 	// been ended by the guard. It must not be read before the attempt's context has ended.
 	lost *lostServer
-	// retryTaken is set if the attempt was ended as stalled and takeRetry has taken a retry. It
+	// retryTaken is set if the attempt was ended as stalled after takeRetry had taken a retry. It
 	// must not be read before the attempt's context has ended.
 	retryTaken bool
 
 	mu sync.Mutex
+	// delivered is set if the caller has received a part of the response.
+	delivered bool
 	// next is the request for the backend server of the attempt that would follow.
 	next  routing.Request
 	watch attemptWatch
@@ -145,11 +148,12 @@
 	a.watch.stream = false
 }
 
-// allowNext records whether another attempt may follow, and the request for its backend server.
-func (a *watchedAttempt) allowNext(allowed bool, next routing.Request) {
+// allowEnd records whether the attempt may be ended when it stalls, whether the caller has received a
+// part of the response, and the request for the backend server of the attempt that would follow.
+func (a *watchedAttempt) allowEnd(allowed, delivered bool, next routing.Request) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.watch.repeatable, a.next = allowed, next
+	a.watch.mayEnd, a.delivered, a.next = allowed, delivered, next
 }
 
 // wait records that the router waits for progress of the attempt.
@@ -186,12 +190,15 @@
 	silentSince := a.watch.waitingSince
 	action, next := a.watch.tick(now, a.pauses.usualPauses)
 	pause, sentFor, started := now.Sub(a.watch.waitingSince), now.Sub(a.watch.sentAt), a.watch.started
-	if action == endStalled && !a.takeRetry(&a.next) {
-		silence.Add("stalled_kept", 1)
-		action, next = a.watch.keep(now, a.pauses.usualPauses)
+	if action == endStalled && a.delivered {
+		a.retryTaken = a.takeRetry(&a.next)
+		if !a.retryTaken {
+			silence.Add("stalled_kept", 1)
+			action, next = a.watch.keep(now, a.pauses.usualPauses)
+		}
 	}
 	if action == endStalled {
-		a.ended, a.retryTaken = true, true
+		a.ended = true
 	}
 	if action == keepWaiting {
 		a.timer.Reset(next.Sub(now))
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -62,10 +62,11 @@
 	// by routing.
 	deadline  time.Time
 	predicted time.Duration
-	// stream is set if the response is a stream, and repeatable if another attempt may follow
-	// in the present state of the call. Other attempts are never ended: the bound of a stall is
-	// an estimate, and to end them could only lose the call.
-	stream, repeatable bool
+	// stream is set if the response is a stream.
+	stream bool
+	// mayEnd is set if the attempt may be ended when it stalls. The bound of a stall is an
+	// estimate, and to end other attempts could only lose the call.
+	mayEnd bool
 
 	// started is set once the first event has come.
 	started bool
@@ -196,7 +197,7 @@
 func (w *attemptWatch) stallBound(usual usualPauses) (bound time.Duration, ok bool) {
 	half := w.deadline.Sub(w.waitingSince) / 2
 	switch {
-	case !w.stream || !w.repeatable:
+	case !w.stream || !w.mayEnd:
 		return 0, false
 	case w.started:
 		longest := max(usual.between, w.longest)
