forward, reach: a server is unreachable only if another machine answers

What callers saw: streams of sound servers were broken off by a router whose own network was slow. The router that got SIGTERM at 30.0 s had found 19 servers unreachable from 29 to 31 s, nobody else one; streams that can't be resumed were cut 0.17 and 0.90 s after SIGTERM, 2.8 s and 7.2 s after their servers had begun them. Cause: a check that is not answered within 250 ms was taken as proof against the server. On a link full of request bodies no server answers in that time. Change: with its second connection a check opens one to a witness, the server from which a byte has arrived last (within 400 ms). If the witness does not answer either, the result is unknown, and nothing is ended. Evidence: TestSlowOwnNetworkCutsNoStream fails before; TestCheckWithWitness in virtual time.

--- a/internal/control/reachability.go
+++ b/internal/control/reachability.go
@@ -130,7 +130,7 @@
 // run checks a backend server and those that wait after it.
 func (r *reachability) run(b *wire.Backend) {
 	for b != nil {
-		result := r.monitor.Check(context.Background(), b.GetAddress()).Result
+		result := r.monitor.Check(context.Background(), b.GetAddress(), nil).Result
 		r.mu.Lock()
 		suspect, next := r.plan.finished(time.Now(), b, result, r.member(b.GetName()))
 		r.mu.Unlock()
--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -228,9 +228,13 @@
 // clockStart is the start of the times kept in atomic variables, which count by the steady clock.
 var clockStart = time.Now()
 
-// heardSince reports whether bytes arrived since t.
-func (l *headLimiter) heardSince(t time.Time) bool {
-	return l.heardAt.Load() > int64(t.Sub(clockStart))
+// lastHeard returns when bytes arrived last; the zero time if none have.
+func (l *headLimiter) lastHeard() time.Time {
+	at := l.heardAt.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return clockStart.Add(time.Duration(at))
 }
 
 // readRaw reads from the connection.
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -225,23 +225,49 @@
 	}
 }
 
-// heardSince reports whether anything arrived on the attempt's connection since a time.
-func (a *watchedAttempt) heardSince(t time.Time) bool {
+// heardAt returns when something arrived last on the attempt's connection; the zero time if nothing
+// has.
+func (a *watchedAttempt) heardAt() time.Time {
 	c := a.conn.Load()
-	return c != nil && c.head.heardSince(t)
+	if c == nil {
+		return time.Time{}
+	}
+	return c.head.lastHeard()
 }
 
+// heardSince reports whether anything arrived on the attempt's connection since a time.
+func (a *watchedAttempt) heardSince(t time.Time) bool { return a.heardAt().After(t) }
+
 // check checks whether the machine of a backend server answers, and ends all attempts there if it
 // does not. silent is the attempt that has asked for the check since it was silent from a time on;
 // it may be nil. check returns when the check began, which may have been run for another attempt.
 func (g *silenceGuard) check(b *wire.Backend, silent *watchedAttempt, silentSince time.Time) time.Time {
-	finding := g.monitor.Check(context.Background(), b.GetAddress())
+	finding := g.monitor.Check(context.Background(), b.GetAddress(), func() string { return g.witness(b.GetAddress()) })
 	if finding.Result == reach.Unreachable {
 		g.unreachable(b, finding.Began, silent, silentSince)
 	}
 	return finding.Began
 }
 
+// witness returns the address of the backend server other than the one at the given address from
+// which a byte has arrived last, or "" if none has within silenceBeforeCheck.
+func (g *silenceGuard) witness(checked string) (address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	heard := time.Now().Add(-silenceBeforeCheck)
+	for other, attempts := range g.attempts {
+		if other == checked {
+			continue
+		}
+		for a := range attempts {
+			if at := a.heardAt(); at.After(heard) {
+				address, heard = other, at
+			}
+		}
+	}
+	return address
+}
+
 // unreachable ends all attempts at the address of a backend server that a check, begun at a given
 // time, could not reach. A result that is contradicted by something that arrived from there since
 // is not used: the machine may have dropped the connections of the check as too many were being
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -292,6 +292,44 @@
 	}
 }
 
+// Guards against sound streams that are cut since the router's own network is slow or fails for a
+// while: no server answers a check then, also one whose events arrive.
+func TestSlowOwnNetworkCutsNoStream(t *testing.T) {
+	is := is.New(t)
+	dialer, unreachables := newCheckDialer(), &fakeUnreachables{}
+	var began atomic.Int32
+	script := func(c net.Conn, r *http.Request) {
+		dialer.setDark(c.LocalAddr().String())
+		writeEvents(c, r, 1, 3, false)
+		pause, events := 1300*time.Millisecond, 1 // silent for longer than two checks
+		if began.Add(1) == 2 {
+			pause, events = 50*time.Millisecond, 40
+		}
+		for i := range events {
+			time.Sleep(pause)
+			event := eventsText(4+i, 4+i)
+			fmt.Fprintf(c, "%x\r\n%s\r\n", len(event), event)
+		}
+		fmt.Fprint(c, "0\r\n\r\n")
+	}
+	route := forwardRoute(func(r *wire.ForwardRoute) { r.Stream, r.TimeoutMs = true, 8000 }) // can't be resumed
+	r := newFixtureWith(t, func(o *Options) { o.CheckDialer, o.Unreachable = dialer, unreachables }, route, startBackend(t, script), startBackend(t, script))
+	first := make(chan string)
+	go func() {
+		_, body, _, _ := r.call("Call", "c1")
+		first <- body
+	}()
+	for began.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	status, body, _, err := r.call("Call", "c2")
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, eventsText(1, 43))
+	is.Equal(<-first, eventsText(1, 4))
+	is.Equal(unreachables.reported(), "")
+}
+
 // Guards against a retry that a stalled stream takes from the budget twice, or though no other server
 // can be selected.
 func TestStalledStreamTakesOneRetry(t *testing.T) {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -69,15 +69,19 @@
 
 // CheckWith is Check with connections of dialer.
 func CheckWith(ctx context.Context, dialer Dialer, address string) Result {
-	return check(ctx, dialer, address, time.Now)
+	return check(ctx, dialer, address, nil, time.Now)
 }
 
+// Witness returns the address of another machine, which must be known to run, or "" if none is. If it
+// does not answer either, the network of this process is at fault and not the machine that is checked.
+type Witness func() string
+
 // check is CheckWith with a clock. If the check ends late, one more connection decides: while this
-// process did not run, it may have missed the answer.
-func check(ctx context.Context, dialer Dialer, address string, now func() time.Time) Result {
-	result, late := dialWithin(ctx, dialer, address, checkTimeout, 2, now)
+// process did not run, it may have missed the answer. witness may be nil.
+func check(ctx context.Context, dialer Dialer, address string, witness Witness, now func() time.Time) Result {
+	result, late := dialWithin(ctx, dialer, address, witness, checkTimeout, 2, now)
 	if late && result == Unreachable {
-		result, late = dialWithin(ctx, dialer, address, lateCheckTimeout, 1, now)
+		result, late = dialWithin(ctx, dialer, address, witness, lateCheckTimeout, 1, now)
 	}
 	if result == Unreachable && (late || ctx.Err() != nil) {
 		return Unknown
@@ -86,18 +90,33 @@
 }
 
 // dialWithin opens up to the given number of connections, one or two, and waits for them until timeout.
-// late is set if this process took more than maxOverrun longer than that.
-func dialWithin(ctx context.Context, dialer Dialer, address string, timeout time.Duration, dials int, now func() time.Time) (result Result, late bool) {
+// With the last one it opens one to the witness, as both have to be answered in the same time. late is
+// set if this process took more than maxOverrun longer than timeout.
+func dialWithin(ctx context.Context, dialer Dialer, address string, witness Witness, timeout time.Duration, dials int, now func() time.Time) (result Result, late bool) {
 	began := now()
 	dialCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	results := make(chan Result, dials)
 	dial := func() { results <- dialOnce(dialCtx, dialer, address) }
+	var witnessResult chan Result // nil if there is no witness
+	dialWitness := func() {
+		if witness == nil {
+			return
+		}
+		if other := witness(); other != "" {
+			witnessResult = make(chan Result, 1)
+			go func() { witnessResult <- dialOnce(dialCtx, dialer, other) }()
+		}
+	}
 	go dial()
+	if dials == 1 {
+		dialWitness()
+	}
 	second := time.NewTimer(secondDialAfter)
 	defer second.Stop()
 	result = Unreachable
-	for open, started := 1, 1; open > 0 || started < dials; {
+	witnessed, answered := false, Unknown
+	for open, started := 1, 1; open > 0 || started < dials || witnessResult != nil && !witnessed; {
 		select {
 		case r := <-results:
 			open--
@@ -112,10 +131,13 @@
 				started++
 				open++
 				go dial()
+				dialWitness()
 			}
+		case answered = <-witnessResult:
+			witnessed = true
 		case <-dialCtx.Done():
 			// A dialer that does not return by itself must not hold up the check.
-			started, open = dials, 0
+			started, open, witnessed = dials, 0, true
 		}
 	}
 	select {
@@ -125,6 +147,9 @@
 		}
 	default:
 	}
+	if witnessResult != nil && answered != Reachable && result == Unreachable {
+		result = Unknown
+	}
 	return result, now().Sub(began) > timeout+maxOverrun
 }
 
@@ -154,7 +179,7 @@
 // Monitor runs checks, one for an address at a time, and shares their results. It is safe
 // for concurrent use.
 type Monitor struct {
-	check func(ctx context.Context, address string) Result
+	check func(ctx context.Context, address string, witness Witness) Result
 
 	mu    sync.Mutex
 	known map[string]*sharedCheck
@@ -183,8 +208,8 @@
 	if dialer == nil {
 		dialer = &net.Dialer{}
 	}
-	return &Monitor{known: map[string]*sharedCheck{}, check: func(ctx context.Context, address string) Result {
-		r := CheckWith(ctx, dialer, address)
+	return &Monitor{known: map[string]*sharedCheck{}, check: func(ctx context.Context, address string, witness Witness) Result {
+		r := check(ctx, dialer, address, witness, time.Now)
 		if observe != nil {
 			observe(address, r)
 		}
@@ -193,15 +218,16 @@
 }
 
 // Check returns the result of the check of address that runs now or has begun within the
-// last ShareFor, and runs one otherwise. It returns Unknown if ctx ends first.
-func (m *Monitor) Check(ctx context.Context, address string) Finding {
+// last ShareFor, and runs one otherwise, with a witness, which may be nil. It returns Unknown if ctx
+// ends first.
+func (m *Monitor) Check(ctx context.Context, address string, witness Witness) Finding {
 	now := time.Now()
 	m.mu.Lock()
 	s := m.known[address]
 	if s == nil || !s.recent(now) {
 		s = &sharedCheck{done: make(chan struct{}), finding: Finding{Began: now}}
 		m.known[address] = s
-		go m.run(context.WithoutCancel(ctx), address, s)
+		go m.run(context.WithoutCancel(ctx), address, witness, s)
 	}
 	m.mu.Unlock()
 	select {
@@ -213,8 +239,8 @@
 }
 
 // run runs a check and forgets it once its result is not shared any more.
-func (m *Monitor) run(ctx context.Context, address string, s *sharedCheck) {
-	s.finding.Result = m.check(ctx, address)
+func (m *Monitor) run(ctx context.Context, address string, witness Witness, s *sharedCheck) {
+	s.finding.Result = m.check(ctx, address, witness)
 	close(s.done)
 	time.AfterFunc(ShareFor-time.Since(s.finding.Began), func() {
 		m.mu.Lock()
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -85,6 +85,55 @@
 // Guards against a check that says nothing since this process was short of processor time: streams of a dark
 // server stood still until the next check, 1.15 s in all. A process that was paused for longer must not
 // take a server that answers for a dark one.
+// Guards against sound machines that count as silent since the network of the process that checks is
+// slow or fails: then a machine that is known to run does not answer either.
+func TestCheckWithWitness(t *testing.T) {
+	const hangs = -1
+	for name, test := range map[string]struct {
+		checked, witness []dialStep
+		want             Result
+		took             time.Duration
+	}{
+		"machine gone":                    {[]dialStep{{delay: hangs}}, []dialStep{{delay: time.Millisecond}}, Unreachable, checkTimeout},
+		"machine gone, witness refuses":   {[]dialStep{{delay: hangs}}, []dialStep{{time.Millisecond, syscall.ECONNREFUSED}}, Unreachable, checkTimeout},
+		"no route to the host":            {[]dialStep{{0, syscall.EHOSTUNREACH}}, []dialStep{{delay: time.Millisecond}}, Unreachable, 101 * time.Millisecond},
+		"own network slow":                {[]dialStep{{delay: 300 * time.Millisecond}}, []dialStep{{delay: 300 * time.Millisecond}}, Unknown, checkTimeout},
+		"no route to any host":            {[]dialStep{{0, syscall.EHOSTUNREACH}}, []dialStep{{0, syscall.EHOSTUNREACH}}, Unknown, 100 * time.Millisecond},
+		"no descriptor for the witness":   {[]dialStep{{delay: hangs}}, []dialStep{{0, syscall.EMFILE}}, Unknown, checkTimeout},
+		"machine answers, witness is not": {[]dialStep{{delay: 200 * time.Millisecond}}, []dialStep{{delay: hangs}}, Reachable, 200 * time.Millisecond},
+		"no witness":                      {[]dialStep{{delay: hangs}}, nil, Unreachable, checkTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				checked, other := &fakeDialer{steps: test.checked}, &fakeDialer{steps: test.witness}
+				dialer := dialerFunc(func(ctx context.Context, network, address string) (net.Conn, error) {
+					if address == "w" {
+						return other.DialContext(ctx, network, address)
+					}
+					return checked.DialContext(ctx, network, address)
+				})
+				witness := func() string {
+					if test.witness == nil {
+						return ""
+					}
+					return "w"
+				}
+				began := time.Now()
+				is.Equal(NewMonitor(dialer, nil).Check(context.Background(), "a", witness).Result, test.want)
+				is.Equal(time.Since(began), test.took)
+				is.True(other.dials.Load() <= 1)
+			})
+		})
+	}
+}
+
+type dialerFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func (f dialerFunc) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return f(ctx, network, address)
+}
+
 func TestCheckThatEndsLate(t *testing.T) {
 	const hangs = -1
 	type pause struct{ at, length time.Duration }
@@ -116,7 +165,7 @@
 					}
 					return at.Add(paused)
 				}
-				is.Equal(check(context.Background(), &fakeDialer{steps: test.steps}, "a", now), test.want)
+				is.Equal(check(context.Background(), &fakeDialer{steps: test.steps}, "a", nil, now), test.want)
 				is.Equal(time.Since(began), test.took)
 			})
 		})
@@ -144,7 +193,7 @@
 		var wg sync.WaitGroup
 		for range 20 {
 			wg.Go(func() {
-				if got := m.Check(context.Background(), "a").Result; got != Unreachable {
+				if got := m.Check(context.Background(), "a", nil).Result; got != Unreachable {
 					t.Errorf("got %v", got)
 				}
 			})
@@ -153,12 +202,12 @@
 		is.Equal(checks["a unreachable"], 1)
 		is.Equal(dialer.dials.Load(), int32(2))
 		time.Sleep(ShareFor - checkTimeout - time.Millisecond)
-		m.Check(context.Background(), "a")
+		m.Check(context.Background(), "a", nil)
 		is.Equal(checks["a unreachable"], 1)
 		time.Sleep(time.Millisecond)
-		m.Check(context.Background(), "b") // another address
+		m.Check(context.Background(), "b", nil) // another address
 		is.Equal(checks["b unreachable"], 1)
-		m.Check(context.Background(), "a")
+		m.Check(context.Background(), "a", nil)
 		is.Equal(checks["a unreachable"], 2)
 		time.Sleep(2 * ShareFor)
 		m.mu.Lock()
