e2e: proxied connections wait for a lookup of one socket only

All links between the processes of these tests pass through a proxy in the test process, which holds each new connection until it has found the client's process. Pings, announcements and health checks timed out while they waited. The lookup also compared the local port only: with several connections from one port to different addresses it could find the wrong process, and faults did not affect the connection.

Ask the kernel for the one socket by its four addresses (sock_diag). The product and the bounds of the tests do not change.

--- a/internal/e2e/harness_test.go
+++ b/internal/e2e/harness_test.go
@@ -176,7 +176,7 @@
 	}
 	t.Cleanup(in.stop)
 	if l.network {
-		in.network = newNetwork(t, in.portOwner)
+		in.network = newNetwork(t, in.clientOf)
 	}
 	for i := range in.controls {
 		in.addControl(i)
--- a/internal/e2e/network_test.go
+++ b/internal/e2e/network_test.go
@@ -1,14 +1,16 @@
 package e2e
 
 import (
-	"bufio"
+	"encoding/binary"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"os"
 	"slices"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -19,8 +21,8 @@
 // the connections stay open, so that the processes get no error.
 type network struct {
 	t *testing.T
-	// owner returns the name of the process that holds a local TCP port.
-	owner func(port int) string
+	// clientOf returns the name of the process that has opened an accepted connection.
+	clientOf func(net.Conn) string
 
 	mu sync.Mutex
 	// changed is closed and replaced whenever blocked traffic may be allowed again.
@@ -40,8 +42,8 @@
 	delay time.Duration
 }
 
-func newNetwork(t *testing.T, owner func(port int) string) *network {
-	n := &network{t: t, owner: owner, changed: make(chan struct{}), conns: map[net.Conn]string{}}
+func newNetwork(t *testing.T, clientOf func(net.Conn) string) *network {
+	n := &network{t: t, clientOf: clientOf, changed: make(chan struct{}), conns: map[net.Conn]string{}}
 	t.Cleanup(func() { n.setCut(true, nil) })
 	return n
 }
@@ -142,7 +144,7 @@
 
 // proxy connects an accepted connection with the process called name at address.
 func (n *network) proxy(in net.Conn, name, address string) {
-	from := n.owner(in.RemoteAddr().(*net.TCPAddr).Port)
+	from := n.clientOf(in)
 	if !n.waitToSend(from, name) {
 		in.Close()
 		return
@@ -180,10 +182,17 @@
 	}
 }
 
-// portOwner returns the name of the process that has a connection at a local port, or
-// "" when there is none.
-func (in *installation) portOwner(port int) string {
-	inode := socketInode(port)
+// clientOf returns the name of the process that has opened an accepted connection, or "" when
+// it is none of the installation's, or has closed the connection.
+func (in *installation) clientOf(conn net.Conn) string {
+	inode, err := clientInode(conn)
+	if err != nil {
+		in.t.Errorf("client of a proxied connection not found: %v", err)
+	}
+	if inode == 0 {
+		return ""
+	}
+	link := fmt.Sprintf("socket:[%d]", inode)
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	for name, p := range in.processes {
@@ -193,7 +202,7 @@
 		dir := fmt.Sprintf("/proc/%d/fd/", p.cmd.Process.Pid)
 		files, _ := os.ReadDir(dir)
 		for _, file := range files {
-			if target, _ := os.Readlink(dir + file.Name()); target == "socket:["+inode+"]" {
+			if target, _ := os.Readlink(dir + file.Name()); target == link {
 				return name
 			}
 		}
@@ -201,20 +210,98 @@
 	return ""
 }
 
-// socketInode returns the inode of the connected socket at a loopback port, from
-// /proc/net/tcp.
-func socketInode(port int) string {
-	f, err := os.Open("/proc/net/tcp")
+// clientInode returns the inode of the client's socket of an accepted IPv4 connection from
+// this machine, or 0 when the socket is closed. It asks the kernel for this one socket (see
+// sock_diag(7)). Reading /proc/net/tcp instead took seconds per connection on a busy machine
+// with tens of thousands of sockets in TIME_WAIT, left by earlier tests, and the port alone
+// does not identify a connection: connections to different addresses may share it.
+func clientInode(conn net.Conn) (uint32, error) {
+	const (
+		sockDiagByFamily = 20
+		headerLength     = syscall.SizeofNlMsghdr
+		requestLength    = headerLength + 56 // struct inet_diag_req_v2
+		idOffset         = headerLength + 8  // of its field id
+		inodeOffset      = headerLength + 68 // of idiag_inode in struct inet_diag_msg
+	)
+	fd, err := syscall.Socket(syscall.AF_NETLINK, syscall.SOCK_DGRAM|syscall.SOCK_CLOEXEC, syscall.NETLINK_INET_DIAG)
 	if err != nil {
-		return ""
+		return 0, fmt.Errorf("open a socket: %w", err)
 	}
-	defer f.Close()
-	local := fmt.Sprintf("0100007F:%04X", port)
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		if len(fields) > 9 && fields[1] == local && fields[3] == "01" {
-			return fields[9]
+	defer syscall.Close(fd)
+	client, server := conn.RemoteAddr().(*net.TCPAddr), conn.LocalAddr().(*net.TCPAddr)
+	native := binary.NativeEndian
+	request := make([]byte, requestLength)
+	native.PutUint32(request, requestLength)
+	native.PutUint16(request[4:], sockDiagByFamily)
+	native.PutUint16(request[6:], syscall.NLM_F_REQUEST)
+	request[headerLength], request[headerLength+1] = syscall.AF_INET, syscall.IPPROTO_TCP
+	id := request[idOffset:]
+	binary.BigEndian.PutUint16(id, uint16(client.Port))
+	binary.BigEndian.PutUint16(id[2:], uint16(server.Port))
+	copy(id[4:8], client.IP.To4())
+	copy(id[20:24], server.IP.To4())
+	native.PutUint64(id[40:], math.MaxUint64) // any socket, no cookie
+	if err := syscall.Sendto(fd, request, 0, &syscall.SockaddrNetlink{Family: syscall.AF_NETLINK}); err != nil {
+		return 0, fmt.Errorf("request: %w", err)
+	}
+	reply := make([]byte, os.Getpagesize())
+	n, _, err := syscall.Recvfrom(fd, reply, 0)
+	switch {
+	case err != nil:
+		return 0, fmt.Errorf("reply: %w", err)
+	case n >= headerLength+4 && native.Uint16(reply[4:]) == syscall.NLMSG_ERROR:
+		if errno := syscall.Errno(-int32(native.Uint32(reply[headerLength:]))); errno != syscall.ENOENT {
+			return 0, fmt.Errorf("reply: %w", errno)
+		}
+		return 0, nil
+	case n < inodeOffset+4:
+		return 0, fmt.Errorf("reply of %d bytes", n)
+	}
+	return native.Uint32(reply[inodeOffset:]), nil
+}
+
+// Faults must affect exactly the connections between the processes they name. A lookup by the
+// client's port alone finds another process's connection where two share a port.
+func TestClientOfAConnectionThatSharesItsPort(t *testing.T) {
+	local := &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}
+	dialer := net.Dialer{LocalAddr: local, Control: func(_, _ string, c syscall.RawConn) error {
+		var failed error
+		if err := c.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+		}); err != nil {
+			return err
+		}
+		return failed
+	}}
+	for range 8 {
+		ln, err := net.Listen("tcp", freeAddress(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		client, err := dialer.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer client.Close()
+		local.Port = client.LocalAddr().(*net.TCPAddr).Port
+		accepted, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer accepted.Close()
+		file, err := client.(*net.TCPConn).File()
+		if err != nil {
+			t.Fatal(err)
+		}
+		var want syscall.Stat_t
+		err = syscall.Fstat(int(file.Fd()), &want)
+		file.Close()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := clientInode(accepted); err != nil || uint64(got) != want.Ino {
+			t.Errorf("inode %d, error %v; want inode %d", got, err, want.Ino)
 		}
 	}
-	return ""
 }
