shutdown: one guard for both request paths

shutdown.Guard (with agents) and forward.shutdownGuard (by routes) each had a registry of the running calls, the counts of the planned stop, and the code that ends calls whose response has not begun.

shutdown.Guard now serves both.

Log lines, metrics and bounds do not change, nor do existing tests. One difference inside: what ends a call of the routes runs in its own goroutine, as it did with agents. A call that its caller leaves after its final response was due still counts as left by routes and as complete with agents, so both Finish and FinishAs exist.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -36,7 +36,7 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	endBody := c.f.shutdown.beginBody(http.NewResponseController(c.w), c.arrivedAt.Add(c.timeout()))
+	endBody := c.f.shutdown.beginBody(c.stop, http.NewResponseController(c.w), c.arrivedAt.Add(c.timeout()))
 	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
 	endBody()
 	if err != nil {
@@ -46,8 +46,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return fault.New(fault.BodyTooLarge, fault.NotRun, "the body has more than %d bytes", limit)
-	case errors.Is(err, os.ErrDeadlineExceeded) && c.f.shutdown.stopping():
-		c.f.shutdown.bodyRefused()
+	case errors.Is(err, os.ErrDeadlineExceeded) && c.f.shutdown.Stopping():
+		c.stop.Refuse()
 		return shutdownError("this router stops, the body did not come whole")
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return fault.New(fault.DeadlineExceeded, fault.NotRun, "the body did not come whole in time")
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -280,7 +280,7 @@
 		}
 		return nil, Step{}
 	}
-	if !c.f.shutdown.beginResponse(c.stop) {
+	if !c.stop.Begin() {
 		r.close(false)
 		return &failure{InvalidResponse, errStopEnds}, Step{}
 	}
@@ -381,7 +381,7 @@
 			c.f.selector.firstToken(d)
 		}
 		if !c.headerWritten {
-			if !c.f.shutdown.beginResponse(c.stop) {
+			if !c.stop.Begin() {
 				r.close(false)
 				return &failure{InvalidResponse, errStopEnds}, Step{}
 			}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -199,21 +199,17 @@
 // which cuts them. Calls whose response has not begun shortly before the end get an answer.
 func (f *Forwarder) BeginShutdown(times StopTimes) {
 	f.shutdown.begin(times)
-	time.AfterFunc(time.Until(times.Ends.Add(-finalAnswerMargin)), f.shutdown.endWaiting)
 }
 
 // AnswerWaiting ends the calls whose response has not begun, and waits until their callers have an
 // answer, at most lateAnswerTime. It is called at the end of the planned stop: a process that got no
 // processor time for longer than finalAnswerMargin has not answered them yet.
 func (f *Forwarder) AnswerWaiting() {
-	f.shutdown.endWaiting()
-	for end := time.Now().Add(lateAnswerTime); f.shutdown.answersDue() && time.Now().Before(end); {
-		time.Sleep(lateAnswerPoll)
-	}
+	f.shutdown.AnswerWaiting(lateAnswerTime)
 }
 
 // StopCounts returns the numbers of calls of the planned stop, at its end.
-func (f *Forwarder) StopCounts() event.StopCounts { return f.shutdown.stopCounts() }
+func (f *Forwarder) StopCounts() event.StopCounts { return event.StopCounts(f.shutdown.Counts()) }
 
 // Ready returns nil if calls can be served, and otherwise an error with the
 // reason.
@@ -308,7 +304,7 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &forwardedCall{f: f, w: w, r: r, arrivedAt: time.Now(), freshness: f.opts.Freshness()}
 	c.snapshot = f.opts.Views.Load() // after freshness, so that it is at least as new as the view that was confirmed
-	if f.shutdown.stopping() {
+	if f.shutdown.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	defer func() { c.quota.End() }()
@@ -333,7 +329,7 @@
 	}
 	stoppable, endAttempts := context.WithCancelCause(c.r.Context())
 	defer endAttempts(nil)
-	c.f.shutdown.setCancel(c.stop, endAttempts)
+	c.stop.OnEnd(func(bool) { endAttempts(errStopEnds) })
 	ctx, cancel := context.WithDeadline(stoppable, c.Deadline)
 	defer cancel()
 	c.callCtx, c.ctx = ctx, ctx
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -35,7 +35,7 @@
 // closeIfStopping makes the answer the last one on its connection if the router stops. The stop may
 // have begun after the call arrived.
 func (c *forwardedCall) closeIfStopping() {
-	if c.f.shutdown.stopping() {
+	if c.f.shutdown.Stopping() {
 		c.w.Header().Set("Connection", "close")
 	}
 }
--- a/internal/forward/shutdown.go
+++ b/internal/forward/shutdown.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"context"
 	"errors"
 	"expvar"
 	"net/http"
@@ -28,10 +27,9 @@
 	// has not begun are ended, so that their callers still get an answer.
 	finalAnswerMargin = shutdown.FinalMargin
 	// lateAnswerTime limits how long the end of the planned stop waits for final answers that are
-	// late, and lateAnswerPoll is the time between two checks. What remains until the process is
-	// killed also covers the log lines of the calls that are cut.
+	// late. What remains until the process is killed also covers the log lines of the calls that
+	// are cut.
 	lateAnswerTime = 100 * time.Millisecond
-	lateAnswerPoll = time.Millisecond
 	// The durations of answers that did not become complete are remembered for one to two times
 	// unfinishedWindow, so that a rare one does not stand for the route's answers for long.
 	unfinishedWindow = 15 * time.Second
@@ -56,20 +54,13 @@
 
 // stopCall is what the guard knows of one call.
 type stopCall struct {
+	*shutdown.Call
 	arrivedAt time.Time
 	// route is the name of the route; empty before the call is admitted.
 	route string
-	// counted is set if the stop has to finish the call, since it was running at the beginning
-	// of the stop or accepted in it.
-	counted bool
 	// admission is what was known when the call was accepted or refused; nil if no stop had
 	// begun.
 	admission *event.StopAdmission
-	// begun is set once the response to the caller begins, and final once the call has to end
-	// with an answer since the stop is about to end. Only one of them is ever set.
-	begun, final bool
-	// cancel ends the attempts of the call; nil before there can be any.
-	cancel context.CancelCauseFunc
 }
 
 // errStopEnds is the cause of the end of attempts shortly before the planned stop ends.
@@ -93,21 +84,17 @@
 
 // shutdownGuard decides which calls a router takes during its planned stop. While a load balancer
 // may still send callers, it takes those whose answers are predicted to be complete before the stop
-// ends; afterwards only those whose own time limit ends before that. Shortly before the end it ends
-// the calls whose response has not begun, so that their callers get an answer. It is safe for
-// concurrent use.
+// ends; afterwards only those whose own time limit ends before that. It is safe for concurrent use.
 type shutdownGuard struct {
+	*shutdown.Guard
+
 	mu sync.Mutex
 	// times are those of the planned stop; zero while there is none.
 	times StopTimes
-	// calls holds the calls that are running.
+	// calls holds the calls that are running, for the prediction.
 	calls map[*stopCall]struct{}
-	// counts are the numbers of calls of the planned stop.
-	counts event.StopCounts
 	// durations holds the recent durations by route.
 	durations map[string]*recentDurations
-	// bodies holds the requests whose bodies are being read.
-	bodies map[*http.ResponseController]struct{}
 }
 
 // recentDurations holds the durations of the last answers of a route.
@@ -136,7 +123,9 @@
 }
 
 func newShutdownGuard() *shutdownGuard {
-	return &shutdownGuard{calls: map[*stopCall]struct{}{}, durations: map[string]*recentDurations{}, bodies: map[*http.ResponseController]struct{}{}}
+	g := &shutdownGuard{Guard: shutdown.NewGuard(), calls: map[*stopCall]struct{}{}, durations: map[string]*recentDurations{}}
+	g.Metrics = stopCalls
+	return g
 }
 
 // begin records that the router stops.
@@ -144,15 +133,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.times = times
-	for c := range g.calls {
-		c.counted = true
-		g.count("running", &g.counts.Running)
-	}
+	g.Begin(times.Ends)
 }
 
 // arrive records a call that has arrived.
 func (g *shutdownGuard) arrive(now time.Time) *stopCall {
-	c := &stopCall{arrivedAt: now}
+	c := &stopCall{Call: g.Arrive(), arrivedAt: now}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.calls[c] = struct{}{}
@@ -170,126 +156,41 @@
 	case endFailed, endLeft, endCut:
 		g.recordUnfinished(now, c.route, now.Sub(c.arrivedAt))
 	}
-	switch {
-	case !c.counted:
-	case end == endCut:
-		g.count("cut", &g.counts.Cut)
-	case end == endLeft:
-		g.count("left", &g.counts.Left)
+	switch end {
+	case endCut:
+		c.FinishAs(shutdown.Cut)
+	case endLeft:
+		c.FinishAs(shutdown.Left)
 	default:
-		g.count("complete", &g.counts.Complete)
-	}
-}
-
-// count counts a call. g.mu must be held.
-func (g *shutdownGuard) count(name string, n *int) {
-	*n++
-	stopCalls.Add(name, 1)
-}
-
-// stopCounts returns the numbers of calls of the planned stop, at its end: calls that have to be
-// finished and still run are being cut.
-func (g *shutdownGuard) stopCounts() event.StopCounts {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	counts := g.counts
-	for c := range g.calls {
-		if c.counted {
-			counts.Cut++
-		}
+		c.FinishAs(shutdown.Complete)
 	}
-	return counts
 }
 
-// endWaiting ends the calls whose response has not begun, and the reading of bodies that have not
-// come whole.
-func (g *shutdownGuard) endWaiting() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for c := range g.calls {
-		if c.begun {
-			continue
-		}
-		c.final = true
-		if c.cancel != nil {
-			c.cancel(errStopEnds)
-		}
-	}
-	for body := range g.bodies {
-		_ = body.SetReadDeadline(time.Now()) // fails only on a connection that has ended
-	}
-}
-
-// answersDue reports whether calls are running whose response has not begun.
-func (g *shutdownGuard) answersDue() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for c := range g.calls {
-		if !c.begun {
-			return true
-		}
-	}
-	return false
-}
-
-// beginBody records that the body of a request is read, and ends that at deadline or shortly
+// beginBody records that the body of a call's request is read, and ends that at deadline or shortly
 // before the planned stop ends. The returned function must be called once the body is read.
-func (g *shutdownGuard) beginBody(body *http.ResponseController, deadline time.Time) (end func()) {
+func (g *shutdownGuard) beginBody(c *stopCall, body *http.ResponseController, deadline time.Time) (end func()) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if stop := g.times.Ends.Add(-finalAnswerMargin); !g.times.Ends.IsZero() && stop.Before(deadline) {
 		deadline = stop
 	}
-	g.bodies[body] = struct{}{}
 	_ = body.SetReadDeadline(deadline) // not supported by all writers of tests
+	reading := true                    // a deadline set after the body was read would look as if the caller had left
+	c.OnEnd(func(bool) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		if reading {
+			_ = body.SetReadDeadline(time.Now()) // fails only on a connection that has ended
+		}
+	})
 	return func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		delete(g.bodies, body)
+		reading = false
 		_ = body.SetReadDeadline(time.Time{})
 	}
 }
 
-// bodyRefused counts a call that was refused since its body had not come whole.
-func (g *shutdownGuard) bodyRefused() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.count("refused", &g.counts.Refused)
-}
-
-// stopping reports whether the planned stop has begun.
-func (g *shutdownGuard) stopping() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return !g.times.Ends.IsZero()
-}
-
-// setCancel sets the function that ends the attempts of a call.
-func (g *shutdownGuard) setCancel(c *stopCall, cancel context.CancelCauseFunc) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	c.cancel = cancel
-	if c.final {
-		cancel(errStopEnds)
-	}
-}
-
-// beginResponse records that the response to the caller begins. It returns false if the call has to
-// end with a final answer instead.
-func (g *shutdownGuard) beginResponse(c *stopCall) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	c.begun = !c.final
-	return c.begun
-}
-
-// isFinal reports whether a call has to end with a final answer.
-func (g *shutdownGuard) isFinal(c *stopCall) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return c.final
-}
-
 // durationsOf returns the recent durations of a route; nil if those of too many routes are kept.
 // g.mu must be held.
 func (g *shutdownGuard) durationsOf(route string) *recentDurations {
@@ -354,20 +255,18 @@
 	if predicted, ok := g.predict(now, c); ok && now.Before(g.times.ListenerCloses) {
 		c.admission.Predicted, c.admission.Responses = min(timeLeft, predicted), durationSamples
 	}
-	if route.GetStream() && !route.GetResumable() || now.Add(c.admission.Predicted).After(g.times.Ends.Add(-finalAnswerMargin)) {
-		g.count("refused", &g.counts.Refused)
-		return shutdownError("this router stops")
+	if route.GetStream() && !route.GetResumable() {
+		return c.Refuse()
 	}
-	if !c.counted {
-		c.counted = true
-		g.count("accepted", &g.counts.Accepted)
+	if refusal := c.Accept(now.Add(c.admission.Predicted)); refusal != nil {
+		return refusal
 	}
 	return nil
 }
 
 // isFinal reports whether the call has to end with a final answer, since the planned stop is about
 // to end.
-func (c *forwardedCall) isFinal() bool { return c.f.shutdown.isFinal(c.stop) }
+func (c *forwardedCall) isFinal() bool { return c.stop.Ended() }
 
 // shutdownError returns the refusal of a call that has not run, by a router that stops.
 func shutdownError(reason string) *fault.Error {
--- a/internal/shutdown/guard.go
+++ b/internal/shutdown/guard.go
@@ -1,10 +1,12 @@
 // Package shutdown decides which calls a process accepts during its graceful shutdown, and ends those
-// that its end would cut. It does no I/O: the HTTP edge registers its calls, and writes their responses.
+// that its end would cut. It does no I/O: the HTTP edges of both request paths register their calls, and
+// write their responses.
 package shutdown
 
 import (
 	"context"
 	"errors"
+	"expvar"
 	"sync"
 	"time"
 
@@ -17,8 +19,9 @@
 	FinalMargin = 300 * time.Millisecond
 	// RetryAfter is the time after which a caller may send a refused call to another router.
 	RetryAfter = 20 * time.Millisecond
-	// cutPoll is the time between two checks whether the calls that were cut have ended.
-	cutPoll = time.Millisecond
+	// endPoll is the time between two checks whether the calls that were ended have written their final
+	// responses.
+	endPoll = time.Millisecond
 )
 
 // ErrEnded is the cause with which the shutdown ends calls.
@@ -55,6 +58,9 @@
 // only if the call's own time limit ends in time: how long calls took before is no bound on how long the
 // next one takes. It is safe for concurrent use.
 type Guard struct {
+	// Metrics, if set, counts the calls too. It must be set before the first call.
+	Metrics *expvar.Map
+
 	mu sync.Mutex
 	// finalAt is when calls without a response are ended; zero while there is no shutdown.
 	finalAt time.Time
@@ -74,7 +80,10 @@
 		return
 	}
 	g.finalAt = endsAt.Add(-FinalMargin)
-	g.counts.Running = len(g.calls)
+	for c := range g.calls {
+		c.counted = true
+		g.count("running", &g.counts.Running)
+	}
 	g.timer = time.AfterFunc(time.Until(g.finalAt), g.endWaiting)
 }
 
@@ -85,29 +94,45 @@
 	return !g.finalAt.IsZero()
 }
 
-// Counts returns the numbers of calls.
+// Counts returns the numbers of calls at the end of the shutdown: those that still run are being cut.
 func (g *Guard) Counts() Counts {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.counts
+	counts := g.counts
+	for c := range g.calls {
+		if c.counted && !c.cut {
+			counts.Cut++
+		}
+	}
+	return counts
 }
 
-// Accept registers a call that ends at deadline by itself, or returns the refusal. A call without a
-// deadline is refused during the shutdown, as nothing ends it before the shutdown does. end is called,
-// at most once and from another goroutine, if the shutdown ends the call; cut is set if its response has
-// begun.
-func (g *Guard) Accept(deadline time.Time, end func(cut bool)) (*Call, *fault.Error) {
+// count counts a call. g.mu must be held.
+func (g *Guard) count(name string, n *int) {
+	*n++
+	if g.Metrics != nil {
+		g.Metrics.Add(name, 1)
+	}
+}
+
+// Arrive registers a call before it is known whether it is accepted.
+func (g *Guard) Arrive() *Call {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.finalAt.IsZero() {
-		if deadline.IsZero() || deadline.After(g.finalAt) {
-			g.counts.Refused++
-			return nil, NotRun()
-		}
-		g.counts.Accepted++
-	}
-	c := &Call{guard: g, end: end}
+	c := &Call{guard: g}
 	g.calls[c] = struct{}{}
+	return c
+}
+
+// Accept registers a call that ends at deadline by itself, or returns the refusal. end is that of
+// Call.OnEnd.
+func (g *Guard) Accept(deadline time.Time, end func(cut bool)) (*Call, *fault.Error) {
+	c := g.Arrive()
+	if refusal := c.Accept(deadline); refusal != nil {
+		c.Finish(false)
+		return nil, refusal
+	}
+	c.OnEnd(end)
 	return c, nil
 }
 
@@ -122,6 +147,14 @@
 	}
 }
 
+// AnswerWaiting ends the calls whose response has not begun and waits until they have ended, but no
+// longer than wait: a process that got no processor time for longer than FinalMargin has not answered
+// them yet.
+func (g *Guard) AnswerWaiting(wait time.Duration) {
+	g.endWaiting()
+	g.wait(wait, func(c *Call) bool { return !c.begun })
+}
+
 // Cut ends all calls and waits until they have ended, but no longer than wait.
 func (g *Guard) Cut(wait time.Duration) {
 	g.Begin(time.Now())
@@ -131,20 +164,30 @@
 		if c.begun && !c.ended {
 			c.endLocked()
 			c.cut = true
-			g.counts.Cut++
+			g.count("cut", &g.counts.Cut)
 		}
 	}
 	g.mu.Unlock()
-	for end := time.Now().Add(wait); g.running() && time.Now().Before(end); {
-		time.Sleep(cutPoll)
-	}
+	g.wait(wait, func(*Call) bool { return true })
 	g.countUnanswered()
 }
 
-func (g *Guard) running() bool {
+// wait waits while calls for which due returns true are running, but no longer than limit.
+func (g *Guard) wait(limit time.Duration, due func(*Call) bool) {
+	for end := time.Now().Add(limit); g.running(due) && time.Now().Before(end); {
+		time.Sleep(endPoll)
+	}
+}
+
+func (g *Guard) running(due func(*Call) bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.calls) > 0
+	for c := range g.calls {
+		if due(c) {
+			return true
+		}
+	}
+	return false
 }
 
 // countUnanswered counts the calls that have not written their final response in time as cut.
@@ -154,7 +197,7 @@
 	for c := range g.calls {
 		if !c.cut {
 			c.cut = true
-			g.counts.Cut++
+			g.count("cut", &g.counts.Cut)
 		}
 	}
 }
@@ -162,19 +205,57 @@
 // Call is one call that runs. A nil call is never ended.
 type Call struct {
 	guard *Guard
-	end   func(cut bool)
-	// begun is set once the response has begun, and ended once the shutdown has ended the call. Both
-	// are guarded by guard.mu.
+	// end is the function of OnEnd; nil before it is set. It is guarded by guard.mu, as are all fields
+	// below.
+	end func(cut bool)
+	// counted is set if the shutdown has to finish the call, since it was running at its beginning or
+	// accepted in it.
+	counted bool
+	// begun is set once the response has begun, and ended once the shutdown has ended the call.
 	begun, ended bool
-	// cut is set once the call is counted as cut. It is guarded by guard.mu.
+	// cut is set once the call is counted as cut.
 	cut bool
 }
 
+// Accept accepts a call that ends at deadline by itself, or returns the refusal. A call without a deadline
+// is refused during the shutdown, as nothing ends it before the shutdown does.
+func (c *Call) Accept(deadline time.Time) *fault.Error {
+	g := c.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case g.finalAt.IsZero():
+	case deadline.IsZero() || deadline.After(g.finalAt):
+		g.count("refused", &g.counts.Refused)
+		return NotRun()
+	case !c.counted:
+		c.counted = true
+		g.count("accepted", &g.counts.Accepted)
+	}
+	return nil
+}
+
+// Refuse records that the call is refused for a reason other than its deadline.
+func (c *Call) Refuse() *fault.Error { return c.Accept(time.Time{}) }
+
+// OnEnd sets the function that is called from another goroutine if the shutdown ends the call; cut is set
+// if its response has begun. It replaces an earlier one, and is called at once if the call has been ended.
+func (c *Call) OnEnd(end func(cut bool)) {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.end = end
+	if c.ended {
+		go end(c.begun)
+	}
+}
+
 // endLocked ends the call. The caller must hold guard.mu.
 func (c *Call) endLocked() {
 	if !c.ended {
 		c.ended = true
-		go c.end(c.begun)
+		if c.end != nil {
+			go c.end(c.begun)
+		}
 	}
 }
 
@@ -203,19 +284,44 @@
 	return c.ended
 }
 
-// Finish records that the call has ended. left is set if its caller left or its response broke off.
+// End is how a call ended.
+type End uint8
+
+const (
+	// Complete means that the caller got a complete response, also an error.
+	Complete End = iota
+	// Left means that the caller left, or that the response broke off.
+	Left
+	// Cut means that the end of the shutdown cut the call.
+	Cut
+)
+
+// Finish records that the call has ended. left is set if its caller left or its response broke off: after
+// the shutdown has ended the call, neither can be told from the final response.
 func (c *Call) Finish(left bool) {
+	end := Complete
+	if left && !c.Ended() {
+		end = Left
+	}
+	c.FinishAs(end)
+}
+
+// FinishAs records how the call has ended.
+func (c *Call) FinishAs(end End) {
 	if c == nil {
 		return
 	}
-	c.guard.mu.Lock()
-	defer c.guard.mu.Unlock()
-	delete(c.guard.calls, c)
+	g := c.guard
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.calls, c)
 	switch {
-	case c.guard.finalAt.IsZero() || c.cut:
-	case left && !c.ended:
-		c.guard.counts.Left++
+	case !c.counted || c.cut:
+	case end == Cut:
+		g.count("cut", &g.counts.Cut)
+	case end == Left:
+		g.count("left", &g.counts.Left)
 	default:
-		c.guard.counts.Complete++
+		g.count("complete", &g.counts.Complete)
 	}
 }
--- a/internal/shutdown/guard_test.go
+++ b/internal/shutdown/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -72,6 +73,49 @@
 	is.True(!(*Call)(nil).Ended())
 }
 
+// Guards against calls that are missing from the counts or counted twice when they are registered before
+// they are accepted: by the end of the stop each call that was running or accepted is complete, cut or left.
+func TestCountsOfCallsThatArriveBeforeTheyAreAccepted(t *testing.T) {
+	is := is.New(t)
+	g := NewGuard()
+	g.Metrics = new(expvar.Map)
+	before, running := g.Arrive(), g.Arrive()
+	endsAt := time.Now().Add(10 * time.Minute)
+	g.Begin(endsAt)
+	is.True(before.Accept(endsAt.Add(-FinalMargin)) == nil) // counted as running already
+	is.True(running.Refuse() != nil)                        // its body did not come whole
+	running.Finish(false)
+	accepted, refused := g.Arrive(), g.Arrive()
+	is.True(accepted.Accept(endsAt.Add(-FinalMargin)) == nil)
+	is.True(refused.Accept(endsAt) != nil)
+	accepted.FinishAs(Left)
+	is.Equal(g.Counts(), Counts{Running: 2, Accepted: 1, Refused: 2, Complete: 1, Left: 1, Cut: 1}) // before still runs
+	refused.FinishAs(Left)
+	before.FinishAs(Cut)
+	is.Equal(g.Counts(), Counts{Running: 2, Accepted: 1, Refused: 2, Complete: 1, Left: 1, Cut: 1})
+	for name, n := range map[string]string{"running": "2", "accepted": "1", "refused": "2", "complete": "1", "left": "1", "cut": "1"} {
+		is.Equal(g.Metrics.Get(name).String(), n)
+	}
+}
+
+// Guards against a call that is not ended, or not waited for, because what ends it was set only after the
+// shutdown had ended it.
+func TestEndOfACallIsSetLate(t *testing.T) {
+	is := is.New(t)
+	g := NewGuard()
+	late, begun := g.Arrive(), g.Arrive()
+	is.True(begun.Begin())
+	g.AnswerWaiting(0)
+	is.True(late.Ended())
+	is.True(!begun.Ended())
+	late.OnEnd(func(cut bool) { is.True(!cut); late.FinishAs(Complete) })
+	start := time.Now()
+	g.AnswerWaiting(20 * time.Second)
+	is.True(time.Since(start) < 20*time.Second) // it does not wait for begun
+	is.True(!g.running(func(c *Call) bool { return c == late }))
+	is.True(g.running(func(c *Call) bool { return c == begun }))
+}
+
 // Guards against a caller's disconnection that is taken for the end of the shutdown.
 func TestEnded(t *testing.T) {
 	is := is.New(t)
