view: a member without a backend server does not end the processes that follow

Seen by operators: a router, an agent or a control process without a disk that gets a view with an empty member ends with a nil pointer dereference, and ends again at each start, as its sources send the same view. No writer of the registry was found that can bring such a member into the log; a faulty or later process that is followed can.

Cause: the driver that selects agents as sources reads the address of each member's backend server without a check, in the goroutine of the process itself. The message allows a member without a backend server.

The version advances as before.

--- a/internal/view/snapshot.go
+++ b/internal/view/snapshot.go
@@ -60,7 +60,7 @@
 		FencingToken: v.GetFencing(),
 		Routes:       routes.Compile(v.GetRouteTable()),
 		weights:      v.GetWeights(),
-		members:      slices.Clone(v.GetMembers()),
+		members:      slices.DeleteFunc(slices.Clone(v.GetMembers()), namesNoBackend),
 		quarantine:   slices.Clone(v.GetQuarantine()),
 	}
 	slices.SortFunc(s.members, compareMembers)
@@ -201,6 +201,9 @@
 }
 
 func (b *snapshotBuilder) putMember(member *wire.Member) {
+	if namesNoBackend(member) {
+		return
+	}
 	b.cloneMembersOnce()
 	i, found := b.findMember(member.GetBackend().GetName())
 	if found {
@@ -254,6 +257,10 @@
 	})
 }
 
+// namesNoBackend reports whether a member is an entry without a backend server. Such an entry is not
+// taken into the view, whose readers rely on the backend server of each member.
+func namesNoBackend(m *wire.Member) bool { return m.GetBackend().GetName() == "" }
+
 func compareMembers(a, b *wire.Member) int {
 	return strings.Compare(a.GetBackend().GetName(), b.GetBackend().GetName())
 }
