membership: the leader removes members that routers can't use

Seen by operators: an entry that an earlier version accepted into the log, such as one with a born of 2^53, kept a valid server of its name or address out: the server's heartbeats were acknowledged and ignored while the entry was a member, and for ten minutes after it had expired, because its lease kept the incarnation. Entries with port 0, a zone or an invalid address got calls until they expired.

Cause: the checks of CheckAnnounced were made only where a heartbeat arrives. The leader renewed and granted leases for any entry that the replicated table accepts, and the table must decide alike at replicas of all versions.

Change: the leader decides. It ignores heartbeats that CheckAnnounced refuses (an earlier version may forward them), and at the start of its term it proposes to expire members that fail it; their incarnation is not taken into the lease. The bound on the start of a server is now one of these checks. The table itself decides as before.

--- a/internal/membership/agentless_test.go
+++ b/internal/membership/agentless_test.go
@@ -1,10 +1,13 @@
 package membership
 
 import (
+	"math"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"parsleypulley/internal/wire"
 )
@@ -92,3 +95,57 @@
 	apply(wire.BackendChange_KIND_LOADED, loaded)
 	is.Equal(s.Member("a").State, wire.BackendState_BACKEND_STATE_DRAINING)
 }
+
+// unusableBackends returns backend servers that earlier versions took into the log, and that routers can't use.
+func unusableBackends(name, address string, started uint64) map[string]*wire.Backend {
+	out := map[string]*wire.Backend{}
+	for _, a := range []string{"10.0.0.9:0", "0.0.0.0:80", "[fe80::1%eth0]:80", "224.0.0.1:80"} {
+		out[a] = agentlessBackend(name, a, started)
+	}
+	for born, incarnation := range map[string]uint64{"2^53": 1 << 53, "2^64-1": math.MaxUint64, "microseconds": started * 1000} {
+		out["born "+born] = agentlessBackend(name, address, incarnation)
+	}
+	slots := agentlessBackend(name, address, started)
+	slots.MaxRunning = math.MaxUint32
+	version := agentlessBackend(name, address, started)
+	version.SoftwareVersion = strings.Repeat("v", 60<<10)
+	out["slots"], out["version"] = slots, version
+	return out
+}
+
+// Guards against an entry that an earlier version has taken into the log, and that keeps a valid server of
+// its name or address out: for as long as other heartbeats renewed it, and for ten minutes after it had expired.
+func TestUnusableMembersOfEarlierVersionsKeepNoServerOut(t *testing.T) {
+	const started = 1_787_242_372_604
+	valid := agentlessBackend("a", "10.0.0.1:80", started+1)
+	for _, place := range []struct{ name, member string }{{"name of a server", "a"}, {"address of a server", "odd"}} {
+		for kind, odd := range unusableBackends(place.member, valid.Address, started) {
+			t.Run(place.name+"/"+kind, func(t *testing.T) {
+				is := is.New(t)
+				now := time.Unix(1000, 0)
+				s := NewState()
+				apply := func(changes []*wire.BackendChange) {
+					for _, c := range changes {
+						s.Apply(c, 1)
+					}
+				}
+				apply([]*wire.BackendChange{joinChange(odd), joinChange(agentlessBackend("other", "10.0.0.2:80", started))})
+				is.True(s.Member(place.member) != nil)
+				l := NewLeases(DefaultLeaseConfig(), now)
+				for range 4 { // a second and a half of heartbeats of all three
+					apply(l.Tick(now, s))
+					is.True(!proto.Equal(s.Member(place.member).GetBackend(), odd))
+					now = now.Add(l.Interval(3))
+					for _, b := range []*wire.Backend{odd, valid, agentlessBackend("other", "10.0.0.2:80", started)} {
+						changes, _ := l.Heartbeat(now, s, &wire.Announce{Backend: b, Sequence: uint64(now.UnixMilli())})
+						apply(changes)
+					}
+				}
+				is.Equal(s.Member("a").GetBackend().GetAgentIncarnation(), uint64(started+1))
+				is.Equal(s.Member("a").GetState(), wire.BackendState_BACKEND_STATE_READY)
+				is.True(s.Member("other") != nil)
+				is.Equal(len(s.Members()), 2)
+			})
+		}
+	}
+}
--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -24,6 +24,11 @@
 // calls to a server with a larger number.
 const maxRunningBound = 1 << 16
 
+// maxStartMs is the beginning of the year 2100 in Unix milliseconds. A backend server without an
+// agent has the time of its start as its incarnation, and replaces earlier ones of the same name or
+// address: a later time, such as one in microseconds, would keep valid servers out for good.
+const maxStartMs = 4_102_444_800_000
+
 // CheckAnnounced returns the first problem of a backend server without an agent that
 // announces itself, or nil if routers can use it. It is stricter than ValidateBackend, which
 // must decide alike at all replicas, also of other versions, and on entries that are in the
@@ -32,6 +37,9 @@
 	if problem := ValidateBackend(b); problem != "" {
 		return errors.New(problem)
 	}
+	if b.GetAgentIncarnation() >= maxStartMs {
+		return fmt.Errorf("the start at %d ms is too late", b.GetAgentIncarnation())
+	}
 	if b.GetName() != strings.TrimSpace(b.GetName()) {
 		return errors.New("the name begins or ends with a space")
 	}
@@ -53,6 +61,14 @@
 	return checkReachable(b.GetAddress())
 }
 
+// isUsable reports whether routers can use a backend server that announces itself.
+func isUsable(b *wire.Backend) bool {
+	if b.GetAddress() != "" && b.GetAgentAddress() == "" {
+		return CheckAnnounced(b) == nil
+	}
+	return ValidateBackend(b) == ""
+}
+
 // checkText returns an error if a name can't be sent in a protobuf message or a header. Such
 // a name would fail the whole message that contains it.
 func checkText(name string) error {
--- a/internal/membership/leases.go
+++ b/internal/membership/leases.go
@@ -27,6 +27,9 @@
 	sequence uint64
 	// leaving is set once this incarnation has announced that it is stopping.
 	leaving bool
+	// unusable is set for a member of the term before that routers can't use. Earlier versions took
+	// such members into the log; they may have a later incarnation than any valid one.
+	unusable bool
 	// flaps counts the returns of the backend server.
 	flaps flapCounter
 	// proposedKind is the kind of the last proposed change.
@@ -82,8 +85,8 @@
 	memberCount := len(members.Members())
 	l.extendForPause(now, memberCount)
 	reply := &wire.AnnounceReply{LeaseMs: uint32(l.leaseTime(memberCount).Milliseconds())}
-	if ValidateBackend(backend) != "" {
-		return nil, reply
+	if !isUsable(backend) {
+		return nil, reply // a control process of an earlier version has accepted it
 	}
 	entry := l.lease(name)
 	joined := member.GetBackend().GetAgentIncarnation()
@@ -126,6 +129,7 @@
 		entry.proposedKind = wire.BackendChange_KIND_UNSPECIFIED
 	}
 	entry.lastHeartbeat = now
+	entry.unusable = false
 	entry.sequence = max(entry.sequence, announce.GetSequence())
 	entry.leaving = entry.leaving || announce.GetLeaving()
 }
@@ -190,6 +194,8 @@
 		expiry += l.config.CorrelatedLeaseExtension
 	}
 	switch {
+	case entry.unusable:
+		return wire.BackendChange_KIND_EXPIRE
 	case entry.leaving && silence > l.suspectAfter(memberCount):
 		return wire.BackendChange_KIND_LEAVE
 	case silence > expiry:
@@ -257,8 +263,9 @@
 	entry := l.lease(member.GetBackend().GetName())
 	if entry.lastHeartbeat.IsZero() {
 		entry.lastHeartbeat = l.started
+		entry.unusable = !isUsable(member.GetBackend())
 	}
-	if entry.incarnation == 0 {
+	if entry.incarnation == 0 && !entry.unusable {
 		entry.incarnation = member.GetBackend().GetAgentIncarnation()
 		if member.GetState() == wire.BackendState_BACKEND_STATE_DAMPED {
 			entry.flaps.set(l.started, l.config.Flap.DampThreshold)
