--- a/internal/event/process.go
+++ b/internal/event/process.go
@@ -127,6 +127,11 @@
 	log.WithFields(log.Fields{"reason": trigger, "usable": usable, "error": errorText(err)}).Warn("settings were not reread")
 }
 
+// SettingsUsedInPart logs that a process starts with a part of its settings, because the rest is invalid.
+func SettingsUsedInPart(err error) {
+	log.WithFields(log.Fields{"error": errorText(err)}).Warn("invalid settings were skipped")
+}
+
 // DataFolderDamaged logs that a data folder was corrupt and has been moved aside.
 func DataFolderDamaged(folder string, damage error) {
 	log.WithFields(log.Fields{"data": folder, "damage": errorText(damage)}).Error("data folder was damaged; joining as a new replica")
