routes: the description of an invalid table takes little memory

Seen by operators: a configuration of 2 MiB whose route with a long name has a split of many unknown services ended every control process for lack of memory, before it was refused, and again at each start, because the command was in the log by then: each problem repeated the name of the route. Smaller ones got 503 instead of 400, as their problems fit into no message.

Cause: all problems of a table were described, with the names in full.

--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"math"
+	"runtime"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -98,6 +100,38 @@
 	}
 }
 
+// Guards against an invalid table whose problems, described, take many times its size in memory, at all replicas
+// and at each start, and fit into no message.
+func TestProblemsOfATableTakeLittleMemory(t *testing.T) {
+	is := is.New(t)
+	long := strings.Repeat("\x00", 1<<20)
+	parts := make([]*wire.WeightedService, 200)
+	key := digest("k")
+	one, two := &wire.Account{Name: long}, &wire.Account{Name: long + "2"}
+	for i := range parts {
+		parts[i] = &wire.WeightedService{Service: "none"}
+		one.KeySha256, two.KeySha256 = append(one.KeySha256, key), append(two.KeySha256, key)
+	}
+	for name, bad := range map[string]*wire.RouteTable{
+		"route":    {Version: 1, Routes: []*wire.ForwardRoute{{Name: long, PathPrefix: long, Split: parts}}},
+		"service":  {Version: 1, Services: []*wire.ForwardService{{Name: long}, {Name: long}, {Name: long}}},
+		"accounts": {Version: 1, Accounts: []*wire.Account{one, two}},
+		"host":     {Version: 1, Routes: []*wire.ForwardRoute{{Host: long}, {Host: long, Split: []*wire.WeightedService{{Service: long}}}}},
+		"entries":  {Version: 1, Services: make([]*wire.ForwardService, 10_000)},
+	} {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		problems := Validate(bad)
+		runtime.ReadMemStats(&after)
+		described := len(strings.Join(problems, "\n"))
+		if allocated := (after.TotalAlloc - before.TotalAlloc) >> 20; len(problems) == 0 || described > 64<<10 || allocated > 16 {
+			t.Errorf("%s: %d problems in %d bytes, %d MiB allocated", name, len(problems), described, allocated)
+		}
+	}
+	is.Equal(Validate(&wire.RouteTable{Version: 1, Routes: []*wire.ForwardRoute{{Name: "a", PathPrefix: "/", Repetition: wire.Repetition_REPETITION_AT_MOST_ONCE, TimeoutMs: 1}}}),
+		[]string{`route "a": the weights of its services add up to 0`})
+}
+
 func TestSplitFollowsTheWeights(t *testing.T) {
 	is := is.New(t)
 	r := &wire.ForwardRoute{Split: []*wire.WeightedService{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
