routes: at most 128 stores of cached state are used

Seen by operators: a valid configuration may declare up to 100,000 services. If they are stores, every router keeps a connection to each or tries again every 400 ms, and the leader asks each for its cache events: the bound of 256 sources held for engines only.

Change: the first 128 stores of a table are used. Calls go on without the others, as with stores that are down. The known deployments have a few.

Evidence: TestStoresInUseAreBounded; before, all stores were used. The effect on real processes was not tried.

--- a/internal/routes/compiled.go
+++ b/internal/routes/compiled.go
@@ -22,10 +22,14 @@
 	services map[string]*wire.ForwardService
 	// keys holds the client accounts by the SHA-256 digests of their API keys.
 	keys map[[sha256.Size]byte]*wire.Account
-	// stores holds the stores of cached state among the services.
+	// stores holds the stores of cached state among the services, at most maxCacheStores.
 	stores []*wire.CacheStore
 }
 
+// maxCacheStores bounds the stores of cached state that are used, the first ones of a table. Each router keeps a
+// connection to each store, and the leader follows what each holds.
+const maxCacheStores = 128
+
 // Compile indexes a table that must be valid. For nil it returns an empty table.
 func Compile(t *wire.RouteTable) *Compiled {
 	c := &Compiled{
@@ -45,7 +49,7 @@
 	}
 	for _, s := range t.GetServices() {
 		c.services[s.GetName()] = s
-		if store := s.GetStore(); store != nil {
+		if store := s.GetStore(); store != nil && len(c.stores) < maxCacheStores {
 			c.stores = append(c.stores, store)
 		}
 	}
@@ -90,7 +94,7 @@
 // Service returns the service called name, or nil.
 func (c *Compiled) Service(name string) *wire.ForwardService { return c.services[name] }
 
-// CacheStores returns the services that are stores of cached state.
+// CacheStores returns the stores of cached state that are used, at most maxCacheStores.
 func (c *Compiled) CacheStores() []*wire.CacheStore { return c.stores }
 
 // HasRoute reports whether there is a route called name.
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 	"math"
 	"runtime"
 	"strings"
@@ -132,6 +133,21 @@
 		[]string{`route "a": the weights of its services add up to 0`})
 }
 
+// Guards against a table with tens of thousands of stores, for each of which every router and the leader would keep a
+// connection or try again without end.
+func TestStoresInUseAreBounded(t *testing.T) {
+	is := is.New(t)
+	bounded := &wire.RouteTable{Version: 1}
+	for i := range 3 * maxCacheStores {
+		bounded.Services = append(bounded.Services, &wire.ForwardService{Name: fmt.Sprint(i), Store: &wire.CacheStore{Address: fmt.Sprint("10.0.0.1:", i+1)}})
+	}
+	is.Equal(len(Validate(bounded)), 0)
+	c := Compile(bounded)
+	is.Equal(len(c.CacheStores()), maxCacheStores)
+	is.Equal(c.CacheStores()[0].GetAddress(), "10.0.0.1:1")
+	is.True(c.Service("200").GetStore() != nil) // its declaration stays in force
+}
+
 func TestSplitFollowsTheWeights(t *testing.T) {
 	is := is.New(t)
 	r := &wire.ForwardRoute{Split: []*wire.WeightedService{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
