--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -51,7 +51,7 @@
 		names = append(names, m.GetModel(), m.GetWeightsVersion())
 	}
 	for _, name := range names {
-		if err := checkText(name); err != nil {
+		if err := CheckName(name); err != nil {
 			return err
 		}
 	}
@@ -69,9 +69,9 @@
 	return ValidateBackend(b) == ""
 }
 
-// checkText returns an error if a name can't be sent in a protobuf message or a header. Such
-// a name would fail the whole message that contains it.
-func checkText(name string) error {
+// CheckName returns an error if no backend server may announce a name, such as that of a model: it is too
+// long, or can't be sent in a protobuf message or a header and would fail the whole message.
+func CheckName(name string) error {
 	if len(name) > maxNameBytes {
 		return fmt.Errorf("a name has %d bytes, more than %d", len(name), maxNameBytes)
 	}
