--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -97,7 +97,7 @@
 	"ProcessStarted": event.ProcessStarted, "ProcessFailed": event.ProcessFailed, "PlannedStopStarted": event.PlannedStopStarted,
 	"PlannedStopEnded": event.PlannedStopEnded, "PlannedStopCutRequests": event.PlannedStopCutRequests, "PlannedStopCutRunning": event.PlannedStopCutRunning, "SignalInPlannedStop": event.SignalInPlannedStop, "ComponentEnded": event.ComponentEnded, "PanicRecovered": event.PanicRecovered, "TraceFlushFailed": event.TraceFlushFailed,
 	"LibraryMessage": event.LibraryMessage, "Listening": event.Listening, "ReadinessChanged": event.ReadinessChanged,
-	"SettingsReloaded": event.SettingsReloaded, "SettingsReloadFailed": event.SettingsReloadFailed, "DataFolderDamaged": event.DataFolderDamaged,
+	"SettingsReloaded": event.SettingsReloaded, "SettingsReloadFailed": event.SettingsReloadFailed, "SettingsUsedInPart": event.SettingsUsedInPart, "DataFolderDamaged": event.DataFolderDamaged,
 	"DiskFull": event.DiskFull, "DiskWritable": event.DiskWritable, "StandinStarted": event.StandinStarted,
 	"StandinCrashed":      event.StandinCrashed,
 	"ForwardedCallServed": event.ForwardedCallServed, "ForwardedCallFailed": event.ForwardedCallFailed, "ForwardAttemptFailed": event.ForwardAttemptFailed,
