forward: a connection remembers all calls that it carried

A server that refused a call, and wrote the refusal once more when the call came again under its ID, had its copy taken for the refusal of the second call if 32,768 or more other calls were sent between: the caller was told "not run, try again" while the server ran the call. At 5,000 calls a second that is within 7 to 13 s, at a lower rate after 30 to 60 s.

Cause: the IDs of sent calls are forgotten by number and by time, but a connection that is in use all the time lives longer than that.

Each connection remembers the calls that it carried (8 bytes a call) and is not used for one of them again. It is closed after 1,024 calls, which bounds the memory. The memory of all sent calls still tells copies on other connections.

--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -61,6 +62,9 @@
 	// connection, and a connection with calls all the time may carry thousands.
 	sentMemory = 30 * time.Second
 	maxSent    = 1 << 15
+	// maxCallsPerConn limits the calls on one connection. It remembers all of them, in 8 bytes each,
+	// since a copy may come after sentMemory. One new connection in a thousand calls costs little.
+	maxCallsPerConn = 1024
 	// maxHeadBytes limits the head of a response, with the interim responses before it,
 	// and maxInterimResponses their number.
 	maxHeadBytes        = 64 << 10
@@ -122,6 +126,14 @@
 	expires time.Time
 	// lastUsed is the time of the last response.
 	lastUsed time.Time
+	// calls holds the hashes of the IDs of all calls that were sent on the connection.
+	calls []uint64
+}
+
+// mayCarry reports whether a call may be sent on the connection: a late copy of the response to one with the
+// same ID, however long ago that was, would be taken for its own.
+func (c *conn) mayCarry(call uint64) bool {
+	return len(c.calls) < maxCallsPerConn && !slices.Contains(c.calls, call)
 }
 
 // sentCalls remembers which calls were sent to which addresses. Copies of the responses to them may
@@ -179,13 +191,13 @@
 // connection. A call whose ID was sent to the address before gets a new connection: a late copy of the
 // earlier response would be taken for its own.
 func (p *connPool) get(ctx context.Context, address string, maxAge time.Duration, callID string) (*conn, error) {
-	now := time.Now()
+	now, call := time.Now(), p.sent.hash(address, callID)
 	for !p.sent.contains(now, address, callID) {
 		c := p.pop(address)
 		if c == nil {
 			break
 		}
-		if now.Before(c.expires) && (maxAge <= 0 || now.Sub(c.lastUsed) <= maxAge) && c.isReusable() {
+		if now.Before(c.expires) && (maxAge <= 0 || now.Sub(c.lastUsed) <= maxAge) && c.mayCarry(call) && c.isReusable() {
 			connections.Add("reused", 1)
 			return c, nil
 		}
@@ -199,6 +211,12 @@
 	return c, nil
 }
 
+// recordSent records that a call is sent on c, and reports whether one with the ID was sent to its address before.
+func (p *connPool) recordSent(c *conn, callID string) (again bool) {
+	c.calls = append(c.calls, p.sent.hash(c.address, callID))
+	return p.sent.add(time.Now(), c.address, callID)
+}
+
 // dial opens a new connection to address.
 func (p *connPool) dial(ctx context.Context, address string) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -368,3 +368,69 @@
 	is.True(s.contains(now.Add(9*sentMemory), "a", fmt.Sprint(3*maxSent-1)))
 	is.True(s.contains(now.Add(9*sentMemory), "a", fmt.Sprint(2*maxSent)))
 }
+
+// Guards against the copy of a refusal of a call that the memory of sent calls has forgotten, since thousands
+// of others were sent, and that comes again under its ID on a connection which was in use all the time.
+func TestCopyForAForgottenCall(t *testing.T) {
+	for name, response := range map[string]func(string) string{"refusal": refusalOf, "421": misdirectionOf} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			count := newRunCounter()
+			var mu sync.Mutex
+			carried := map[net.Conn]bool{} // connections that carried the first call
+			arrived := 0
+			r := newFixture(t, forwardRoute(setAtMostOnce), acceptingBackend(t, "", func(c net.Conn, req *http.Request) {
+				mu.Lock()
+				arrived++
+				first, late := arrived == 1, carried[c]
+				carried[c] = true
+				mu.Unlock()
+				copied := response(req.Header.Get("Call"))
+				switch {
+				case first:
+					io.WriteString(c, copied)
+				case late:
+					io.WriteString(c, copied) // alone, so that nothing contradicts it
+					time.Sleep(20 * time.Millisecond)
+					count.run(c, req)
+				default:
+					count.run(c, req)
+				}
+			}))
+			status, _, _, err := r.call()
+			is.NoErr(err)
+			is.Equal(status, 503)
+			r.forgetFailures()
+			for i := range 2*maxSent + 1 {
+				r.f.connPool.sent.add(time.Now(), "other", fmt.Sprint(i))
+			}
+			status, _, _, err = r.call()
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+			t.Logf("status %d, %d runs", status, count.of("c1"))
+			is.True(count.of("c1") <= 1)
+			is.True(!impliesNotExecuted(status) || count.of("c1") == 0)
+		})
+	}
+}
+
+// Guards against a connection whose memory of calls grows without bound, or that is not used again although
+// it has carried other calls only.
+func TestConnectionsRememberTheirCalls(t *testing.T) {
+	is := is.New(t)
+	var accepted atomic.Int32
+	address := startListener(t, func(c net.Conn) {
+		accepted.Add(1)
+		_, _ = io.Copy(io.Discard, c)
+	})
+	pool := newConnPool()
+	for i := range 2 * maxCallsPerConn {
+		id := fmt.Sprint("c", i)
+		c, err := pool.get(t.Context(), address, 0, id)
+		is.NoErr(err)
+		is.True(!pool.recordSent(c, id))
+		is.True(!c.mayCarry(pool.sent.hash(address, id)))
+		pool.put(c, time.Minute)
+	}
+	is.Equal(accepted.Load(), int32(2))
+}
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -67,7 +67,7 @@
 		c.Close()
 		return nil, &failure{Unsent, err}
 	}
-	repeated := f.connPool.sent.add(time.Now(), address, callID)
+	repeated := f.connPool.recordSent(c, callID)
 	watched.conn.Store(c)
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.setDeadline(deadline) // fails only on a closed connection, on which the write fails too
