forward: an answer where the body of a refusal is due contradicts the refusal

A server that wrote a refusal without a length, with a wrong one or in chunks that do not end, and the answer to the same call behind it, had the refusal counted: the call, which had run, ran at a second server too, also on routes whose calls run at most once.

Cause: an answer that follows a refusal contradicts it, but it was looked for only behind the body of the refusal. Without a right length it was read as that body.

All bytes that have arrived behind the head of a refusal are searched for a response to the same call (package responsescan), whatever the head says of the body.

Evidence: six new cases of TestUncertainRefusalsPromiseNothing failed before, each with two runs. Refusals with texts that name a status, and without a length, still count.

--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"expvar"
@@ -241,6 +242,8 @@
 	// heardAt is when bytes arrived last, in nanoseconds since clockStart. Other goroutines
 	// may read it.
 	heardAt atomic.Int64
+	// record gets what is read; nil for none.
+	record *bytes.Buffer
 }
 
 // clockStart is the start of the times kept in atomic variables, which count by the steady clock.
@@ -256,6 +259,9 @@
 	n, err := l.r.Read(p)
 	if n > 0 {
 		l.heardAt.Store(int64(time.Since(clockStart)))
+		if l.record != nil {
+			l.record.Write(p[:n])
+		}
 	}
 	return n, err
 }
@@ -304,6 +310,17 @@
 	return c.SetReadDeadline(c.deadline)
 }
 
+// discardRecorded does the same and returns all bytes that have arrived behind the head, also those that are
+// no part of the body.
+func (c *conn) discardRecorded(body io.Reader, timeout time.Duration) (behind []byte, err error) {
+	buffered, _ := c.r.Peek(c.r.Buffered())
+	record := bytes.NewBuffer(bytes.Clone(buffered))
+	c.head.record = record
+	defer func() { c.head.record = nil }()
+	err = c.discard(body, timeout)
+	return record.Bytes(), err
+}
+
 // staysOpen waits for d and reports whether the connection, on which nothing was sent, is
 // still open and has received nothing.
 func (c *conn) staysOpen(d time.Duration) bool {
--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -160,7 +160,31 @@
 		"a refusal and bytes that are no response":                 {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id) + "beyond\r\n\r\n", false }, calls: []string{"c1"}, served: true},
 		"a refusal and a response to another call":                 {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id) + answerOf("c0"), false }, calls: []string{"c1"}, served: true},
 		"a refusal and the answer in two parts":                    {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id), true }, calls: []string{"c1"}, split: true},
-		"a refusal":                                                {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id), false }, calls: []string{"c1"}, served: true},
+		"a refusal without a length and the answer": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Content-Length: 0\r\n", "", 1), true
+		}, calls: []string{"c1"}},
+		"a refusal without a length and the answer in two parts": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Content-Length: 0\r\n", "", 1), true
+		}, calls: []string{"c1"}, split: true},
+		"a refusal whose length covers the head of the answer": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Length: 0", "Length: 40", 1), true
+		}, calls: []string{"c1"}},
+		"a refusal whose length covers the answer": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Length: 0", "Length: 400", 1), true
+		}, calls: []string{"c1"}},
+		"a refusal with a text, without a length, and the answer": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Content-Length: 0\r\n", "", 1) + "full\n", true
+		}, calls: []string{"c1"}},
+		"a refusal in chunks that do not end, and the answer": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Content-Length: 0", "Transfer-Encoding: chunked", 1), true
+		}, calls: []string{"c1"}},
+		"a refusal with a text that names a status": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Length: 0", "Length: 37", 1) + "the peer said HTTP/1.1 500 Y\r\nCall: x", false
+		}, calls: []string{"c1"}, served: true},
+		"a refusal without a length": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Content-Length: 0\r\n", "", 1) + "full", false
+		}, calls: []string{"c1"}, served: true},
+		"a refusal": {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id), false }, calls: []string{"c1"}, served: true},
 		"an interim response that states a refusal": {faulty: func(id string, _, _ int) (string, bool) {
 			return "HTTP/1.1 103 X\r\nCall: " + id + "\r\nNot-Run: 1\r\n\r\n", true
 		}, calls: []string{"c1"}, served: true},
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"parsleypulley/internal/responsescan"
 )
 
 // refusals counts the responses that state that a call was not executed: those that count as
@@ -156,20 +158,27 @@
 // refuse ends the use of a response that states that the call was not executed, and returns the
 // failure that it counts as. The connection is not kept if more has come with it.
 func (r *response) refuse(outcome Outcome) *failure {
-	complete := r.conn.discard(r.body, discardTimeout) == nil
-	if complete && r.conn.hasUnread() {
-		defer r.close(false)
-		if r.isContradicted() {
-			refusals.Add("contradicted", 1)
-			return &failure{InvalidResponse, errRefusalContradicted}
-		}
-	} else {
-		r.close(complete)
+	behind, err := r.conn.discardRecorded(r.body, discardTimeout)
+	unread := err == nil && r.conn.hasUnread()
+	// Without a length, or with a wrong one, the answer stands where the body of the refusal is due.
+	contradicted := responsescan.Contains(behind, func(status int, header http.Header) bool {
+		return r.contradicts(r.dialect.ReadResponse(status, header))
+	})
+	contradicted = contradicted || unread && r.isContradicted()
+	r.close(err == nil && !unread && !contradicted)
+	if contradicted {
+		refusals.Add("contradicted", 1)
+		return &failure{InvalidResponse, errRefusalContradicted}
 	}
 	refusals.Add("counted", 1)
 	return &failure{outcome, fmt.Errorf("status %d", r.status)}
 }
 
+// contradicts reports whether another response is one to the same call that is no refusal.
+func (r *response) contradicts(info ResponseInfo) bool {
+	return info.ID == r.info.ID && !info.NotExecuted && !info.Misdirected
+}
+
 // isContradicted reports whether what has arrived behind a refusal may be a response to the same call
 // that states something else. Copies of the refusal, responses to other calls and bytes that are no
 // response belong to no call.
@@ -185,8 +194,7 @@
 		if err != nil {
 			return isTimeout(err) // a part of a response
 		}
-		info := r.dialect.ReadResponse(resp.StatusCode, resp.Header)
-		if info.ID == r.info.ID && !info.NotExecuted && !info.Misdirected {
+		if r.contradicts(r.dialect.ReadResponse(resp.StatusCode, resp.Header)) {
 			return true
 		}
 		if r.conn.discard(resp.Body, discardTimeout) != nil {
--- /dev/null
+++ b/internal/responsescan/responsescan.go
@@ -0,0 +1,54 @@
+// Package responsescan finds HTTP responses among the bytes that arrived behind the head of another response,
+// whatever that says of the length of its body.
+package responsescan
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+)
+
+// maxCandidates limits the places at which a response is looked for.
+const maxCandidates = 16
+
+var (
+	protocol = []byte("HTTP/1.")
+	lineEnd  = []byte("\r\n")
+	headEnd  = []byte("\r\n\r\n")
+)
+
+// Contains reports whether data, which arrived behind the head of a response, may contain the head of another
+// one for which match returns true. Interim responses do not count. Of a head that is not whole, match gets
+// the whole lines; one at the beginning of data of which not even the first line is whole counts as a match.
+func Contains(data []byte, match func(status int, header http.Header) bool) bool {
+	for at, n := 0, 0; n < maxCandidates; n++ {
+		i := bytes.Index(data[at:], protocol)
+		if i < 0 {
+			return false
+		}
+		at += i
+		status, header := readHead(data[at:])
+		switch {
+		case status == 0 && at == 0 && !bytes.Contains(data, lineEnd):
+			return true
+		case status >= http.StatusOK && match(status, header):
+			return true
+		}
+		at += len(protocol)
+	}
+	return true // not all of it was looked at
+}
+
+// readHead reads the head of a response, as far as it has whole lines; status is 0 if it is none.
+func readHead(data []byte) (status int, header http.Header) {
+	if end := bytes.Index(data, headEnd); end >= 0 {
+		data = data[:end+len(headEnd)]
+	} else {
+		data = append(bytes.Clone(data[:max(0, bytes.LastIndex(data, lineEnd))]), headEnd...)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(data)), nil)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, resp.Header
+}
