engine: a refusal behind which the engine's answer arrives is not counted

On the path with agents, an engine that wrote a refusal and the answer to the same attempt behind it had the refusal counted: a request that runs at most once, and had run, ran at a second engine. The path without agents looks for such an answer; net/http does not tell what has arrived behind a response.

The connections to an engine record the first 8 KiB of each response until it is known not to be a refusal. What stands behind the head of a refusal is searched for a response to the same attempt (responsescan); then the request may have run.

Evidence: the five cases of TestRefusalFollowedByTheAnswer with an answer failed before, each for requests that run at most once and for others; the six without one pass as before.

--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -92,9 +91,8 @@
 }
 
 func newTransport(singleUse bool) *http.Transport {
-	dialer := net.Dialer{Timeout: connectTimeout}
 	return &http.Transport{
-		DialContext:            dialer.DialContext,
+		DialContext:            dialRecorded,
 		DisableCompression:     true,
 		DisableKeepAlives:      singleUse,
 		MaxIdleConns:           maxIdleConns,
@@ -123,7 +121,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	idle := newIdleTimer(h.limits.IdleTimeout, cancel)
 	var sent atomic.Bool
-	hreq, err := h.newRequest(traceConn(ctx, &sent), req)
+	record := &record{}
+	hreq, err := h.newRequest(record.trace(traceConn(ctx, &sent)), req)
 	if err != nil {
 		idle.stop()
 		cancel(nil)
@@ -145,7 +144,7 @@
 	if resp.Header.Get(dialect.RequestID) == "" {
 		h.singleUseUntil.Store(time.Now().Add(singleUseTime).UnixNano())
 	}
-	response := &httpResponse{resp: resp, ctx: ctx, cancel: cancel, idle: idle, tokens: req.ResumeOffset, limits: h.limits}
+	response := &httpResponse{resp: resp, ctx: ctx, cancel: cancel, idle: idle, tokens: req.ResumeOffset, limits: h.limits, record: record}
 	if err := response.readHead(h, req); err != nil {
 		response.Close()
 		return nil, err
--- a/internal/engine/refusals_test.go
+++ b/internal/engine/refusals_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -139,3 +141,44 @@
 	is.True(fault.Is(h.Order(context.Background(), dialect.Order{Fencing: 1}), fault.StaleFencing))
 	is.NoErr(h.Order(context.Background(), dialect.Order{Fencing: 2}))
 }
+
+// Guards against a refusal that counts as the promise that the request has not run although the engine's answer
+// to it has arrived behind it: a request that runs at most once would run at a second engine.
+func TestRefusalFollowedByTheAnswer(t *testing.T) {
+	refusal := refusalText("r1", "2", dialect.RefusalOverloaded)
+	answer := answerText("r1", "2", "second")
+	for name, test := range map[string]struct {
+		text string
+		// refused is set if the refusal must count.
+		refused bool
+	}{
+		"the answer":                         {refusal + answer, false},
+		"a copy and the answer":              {refusal + refusal + answer, false},
+		"the answer, no length":              {strings.Replace(refusal, "Content-Length: 0\r\n", "", 1) + answer, false},
+		"the answer, within its length":      {strings.Replace(refusal, "Length: 0", "Length: 400", 1) + answer, false},
+		"an interim response and the answer": {"HTTP/1.1 103 X\r\n\r\n" + refusal + "HTTP/1.1 103 X\r\n\r\n" + answer, false},
+		"nothing":                            {refusal, true},
+		"a copy":                             {refusal + refusal, true},
+		"an answer to another request":       {refusal + answerText("r0", "2", "other"), true},
+		"an answer to an earlier attempt":    {refusal + answerText("r1", "1", "first"), true},
+		"an interim response":                {refusal + "HTTP/1.1 103 X\r\n\r\n", true},
+		"bytes that are no response":         {refusal + "beyond\r\n\r\n", true},
+	} {
+		for _, atMostOnce := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s/at most once %v", name, atMostOnce), func(t *testing.T) {
+				is := is.New(t)
+				url := serveConnections(t, func(c net.Conn, br *bufio.Reader) {
+					for r := readRequest(br); r != nil; r = readRequest(br) {
+						io.WriteString(c, test.text)
+					}
+				})
+				h := newClient(t, url, false, Limits{IdleTimeout: 200 * time.Millisecond})
+				req := testRequest(false)
+				req.AtMostOnce = atMostOnce
+				_, _, err := readAll(h, req)
+				is.True(err != nil)
+				is.Equal(fault.From(err).Outcome == fault.NotRun, test.refused)
+			})
+		}
+	}
+}
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -24,6 +24,8 @@
 	cancel context.CancelCauseFunc
 	idle   *idleTimer
 	limits Limits
+	// record is the record of the response, which goes on until its head was read.
+	record *record
 	head   Head
 
 	// events reads the events of a stream. It is nil for other responses.
@@ -53,11 +55,15 @@
 	}
 	if refusal := header.Get(dialect.Refusal); refusal != "" && !h.plainService {
 		// Without the ID and the attempt it may be a late copy, or written before the request was read.
-		if id, attempt := header.Get(dialect.RequestID), header.Get(dialect.Attempt); id != req.ID || attempt != strconv.FormatUint(uint64(req.Attempt), 10) {
+		if id, attempt := header.Get(dialect.RequestID), header.Get(dialect.Attempt); id != req.ID || !isAttempt(header, req) {
 			return fault.New(fault.StreamBroken, fault.Unknown, "backend server refused request ID %q, attempt %q with status %d: %s", id, attempt, r.resp.StatusCode, refusal)
 		}
+		if r.isContradicted(req) {
+			return fault.New(fault.StreamBroken, fault.Unknown, "backend server refused with status %d: %s, and answered behind it", r.resp.StatusCode, refusal)
+		}
 		return r.refusal(refusal)
 	}
+	r.record.end()
 	if err := r.checkRequestID(h, req); err != nil {
 		return err
 	}
@@ -85,6 +91,11 @@
 	return nil
 }
 
+// isAttempt reports whether a response names the attempt of the request.
+func isAttempt(header http.Header, req *Request) bool {
+	return header.Get(dialect.Attempt) == strconv.FormatUint(uint64(req.Attempt), 10)
+}
+
 // statusLimit is greater than all HTTP status codes.
 const statusLimit = 600
 
--- a/internal/responsescan/responsescan.go
+++ b/internal/responsescan/responsescan.go
@@ -39,6 +39,22 @@
 	return true // not all of it was looked at
 }
 
+// BehindHead returns what stands behind the first head in data that is not that of an interim response; nil if
+// there is none.
+func BehindHead(data []byte) []byte {
+	for {
+		end := bytes.Index(data, headEnd)
+		if end < 0 {
+			return nil
+		}
+		status, _ := readHead(data)
+		data = data[end+len(headEnd):]
+		if status >= http.StatusOK {
+			return data
+		}
+	}
+}
+
 // readHead reads the head of a response, as far as it has whole lines; status is 0 if it is none.
 func readHead(data []byte) (status int, header http.Header) {
 	if end := bytes.Index(data, headEnd); end >= 0 {
--- a/internal/responsescan/responsescan_test.go
+++ b/internal/responsescan/responsescan_test.go
@@ -33,3 +33,15 @@
 		}
 	}
 }
+
+// Guards against an interim response whose successor is taken for what follows the response.
+func TestBehindHead(t *testing.T) {
+	for text, want := range map[string]string{
+		"": "", "HTTP/1.1 503 X\r\nA: b": "", "HTTP/1.1 503 X\r\n\r\nrest": "rest", "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 503 X\r\n\r\nrest": "rest",
+		"HTTP/1.1 100 X\r\n\r\n": "",
+	} {
+		if got := BehindHead([]byte(text)); string(got) != want {
+			t.Errorf("%q: got %q", text, got)
+		}
+	}
+}
