engine: a connection with a response to another request is not used again

After an engine had written a copy of an earlier response on a kept connection, the next request, which got the copy, and those behind it failed as long as they followed one another closely: each got the response to the request before it. Requests that run at most once have connections of their own and were not affected.

Cause: net/http puts a connection back as soon as it has read a response without a body, before the request ID is checked.

A response to another request ends its connection, and the idle ones, among which it may be.

Evidence: TestConnectionWithAnotherResponseIsClosed failed before in 3 of 3 runs (a refusal, an answer and an error without a body), and passed in 20 of 20 with the race detector.

--- a/internal/engine/recorded.go
+++ b/internal/engine/recorded.go
@@ -96,6 +96,16 @@
 	return r.conn.end(r.request)
 }
 
+// endMismatched ends the connection of a response to another request, also if it is in use again: each response
+// on it would be taken for that to the request after its own. The idle ones end too, since net/http would use
+// this one until it has noticed its end.
+func (h *HTTP) endMismatched(r *record) {
+	h.client.CloseIdleConnections()
+	if r.conn != nil {
+		_ = r.conn.Close() // it may be closed already
+	}
+}
+
 // isContradicted reads the body of a refusal and reports whether a response to the same attempt that is no
 // refusal has arrived with it.
 func (r *httpResponse) isContradicted(req *Request) bool {
--- a/internal/engine/refusals_test.go
+++ b/internal/engine/refusals_test.go
@@ -182,3 +182,48 @@
 		}
 	}
 }
+
+// Guards against a connection that stays in use after a response to another request came on it: each response
+// on it would be taken for that to the request after its own, and all of them would fail.
+func TestConnectionWithAnotherResponseIsClosed(t *testing.T) {
+	for name, first := range map[string]string{
+		"refusal": refusalText("r1", "1", dialect.RefusalOverloaded),
+		"answer":  answerText("r1", "1", ""),
+		"error":   strings.Replace(answerText("r1", "1", ""), "200 OK", "500 X", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var copied atomic.Bool
+			url := serveConnections(t, func(c net.Conn, br *bufio.Reader) {
+				for n := 0; ; n++ {
+					r := readRequest(br)
+					if r == nil {
+						return
+					}
+					id, attempt := r.Header.Get(dialect.RequestID), r.Header.Get(dialect.Attempt)
+					switch {
+					case attempt == "1":
+						io.WriteString(c, first)
+						continue
+					case n == 1 && copied.CompareAndSwap(false, true): // the copy, and the response to the request a while later
+						io.WriteString(c, first)
+						time.Sleep(100 * time.Millisecond)
+					}
+					io.WriteString(c, answerText(id, attempt, ""))
+				}
+			})
+			h := newClient(t, url, false, Limits{IdleTimeout: 2 * time.Second})
+			attempt := func(n uint32) error {
+				req := testRequest(false)
+				req.Attempt = n
+				_, _, err := readAll(h, req)
+				return err
+			}
+			_ = attempt(1)
+			is.True(attempt(2) != nil) // it got the copy
+			for n := range uint32(5) {
+				is.NoErr(attempt(3 + n))
+			}
+		})
+	}
+}
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -56,6 +56,7 @@
 	if refusal := header.Get(dialect.Refusal); refusal != "" && !h.plainService {
 		// Without the ID and the attempt it may be a late copy, or written before the request was read.
 		if id, attempt := header.Get(dialect.RequestID), header.Get(dialect.Attempt); id != req.ID || !isAttempt(header, req) {
+			h.endMismatched(r.record)
 			return fault.New(fault.StreamBroken, fault.Unknown, "backend server refused request ID %q, attempt %q with status %d: %s", id, attempt, r.resp.StatusCode, refusal)
 		}
 		if r.isContradicted(req) {
@@ -136,6 +137,7 @@
 		return nil
 	}
 	if id != req.ID || attempt != "" && parseUint(attempt, 32) != uint64(req.Attempt) {
+		h.endMismatched(r.record)
 		return fault.New(fault.StreamBroken, fault.Unknown, "backend server answered with request ID %q, attempt %q", id, attempt)
 	}
 	return nil
