--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -425,6 +425,7 @@
 			is.NoErr(err)
 			is.Equal(status, 503)
 			r.forgetFailures()
+			r.keepIdle()
 			for i := range 2*maxSent + 1 {
 				r.f.connPool.sent.add(time.Now(), "other", fmt.Sprint(i))
 			}
