engine: copies of control responses are not answers to control requests of other kinds

An engine that wrote an earlier response to a control request once more had it taken for the response to the next one, of any kind. A report of the load names the incarnation, as a health check does: the agent then saw an engine without models, and refused the requests for it until the next health check.

Cause: health checks, loads, cache events and cancellations shared kept connections, and their responses name no request.

Each kind has kept connections of its own, and a response behind which more bytes arrive is requested again (package keptconn).

Evidence: TestCopiesOfOtherControlResponses failed before (no model instead of one).

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -14,6 +14,7 @@
 
 	"parsleypulley/internal/engine/dialect"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/keptconn"
 )
 
 // sendControl sends a control request and returns the body of the response. A response
@@ -29,28 +30,43 @@
 	if len(body) > 0 {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	client := h.controlClient
+	sentAt := time.Now()
+	resp, data, err := h.doControl(req, limit)
+	if resp != nil {
+		h.readNotices(sentAt, resp.Header)
+	}
+	if errors.Is(err, keptconn.ErrTooLong) {
+		return nil, fault.New(fault.BodyTooLarge, fault.Ran, "%s: answer is over the limit of %d bytes", path, limit)
+	}
+	if err != nil {
+		return nil, controlError(err, sent.Load())
+	}
+	if resp.StatusCode >= http.StatusBadRequest {
+		return nil, statusError(path, resp, data)
+	}
+	return data, nil
+}
+
+// doControl sends a control request and returns the response with its body. The response is nil if none has begun.
+func (h *HTTP) doControl(req *http.Request, limit int64) (*http.Response, []byte, error) {
+	path := req.URL.Path
+	if client := h.queries[path]; client != nil {
+		return client.Do(req, limit)
+	}
+	client := h.kvClient
 	if path == dialect.PathOrders {
 		client = h.singleUseClient
 	}
-	sentAt := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
-		return nil, controlError(err, sent.Load())
+		return nil, nil, err
 	}
 	defer resp.Body.Close()
-	h.readNotices(sentAt, resp.Header)
 	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return nil, controlError(err, true)
+	if err == nil && int64(len(data)) > limit {
+		err = keptconn.ErrTooLong
 	}
-	if int64(len(data)) > limit {
-		return nil, fault.New(fault.BodyTooLarge, fault.Ran, "%s: answer is over the limit of %d bytes", path, limit)
-	}
-	if resp.StatusCode >= http.StatusBadRequest {
-		return nil, statusError(path, resp, data)
-	}
-	return data, nil
+	return resp, data, err
 }
 
 // controlError returns the error for a control request that got no complete
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -14,6 +14,7 @@
 
 	"parsleypulley/internal/engine/dialect"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/keptconn"
 	"parsleypulley/internal/permit"
 )
 
@@ -33,9 +34,11 @@
 	limits       Limits
 	// client reuses connections.
 	client *http.Client
-	// controlClient does so for control requests. Their responses name no request, so a late copy
-	// of one could be taken for the response to a call.
-	controlClient *http.Client
+	// queries sends the control requests that may be repeated, by path, and kvClient those that move cached
+	// state. Their responses name no request, so a late copy of one could be taken for the response to a
+	// call, or to a control request of another kind. Cached state names itself.
+	queries  map[string]*keptconn.Client
+	kvClient *http.Client
 	// singleUseClient opens a new connection for each request. It is used for
 	// requests that must not be sent twice, because net/http may resend a request if
 	// a reused connection turns out to be closed, and for orders, whose responses name no order.
@@ -80,12 +83,17 @@
 	if o.Limits == (Limits{}) {
 		o.Limits = DefaultLimits()
 	}
+	queries := map[string]*keptconn.Client{}
+	for _, path := range []string{dialect.PathHealth, dialect.PathLoad, dialect.PathEvents, dialect.PathCancel} {
+		queries[path] = keptconn.New(newTransport(false), keptconn.SettleTime)
+	}
 	return &HTTP{
 		base:            "http://" + base.Host,
 		plainService:    o.PlainService,
 		limits:          o.Limits,
 		client:          &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
-		controlClient:   &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
+		queries:         queries,
+		kvClient:        &http.Client{Transport: newTransport(false), CheckRedirect: noRedirect},
 		singleUseClient: &http.Client{Transport: newTransport(true), CheckRedirect: noRedirect},
 	}, nil
 }
@@ -110,7 +118,10 @@
 // Close closes the connections that are not in use.
 func (h *HTTP) Close() {
 	h.client.CloseIdleConnections()
-	h.controlClient.CloseIdleConnections()
+	h.kvClient.CloseIdleConnections()
+	for _, client := range h.queries {
+		client.CloseIdleConnections()
+	}
 }
 
 // PlainService implements Engine.
--- a/internal/engine/refusals_test.go
+++ b/internal/engine/refusals_test.go
@@ -227,3 +227,46 @@
 		})
 	}
 }
+
+// Guards against a copy of a response to one kind of control request that is taken for the response to another: a
+// report of the load names the incarnation too, so that a health check would find an engine without models, and the
+// requests for it would be refused.
+func TestCopiesOfOtherControlResponses(t *testing.T) {
+	is := is.New(t)
+	var copies atomic.Int32
+	url := serveConnections(t, func(c net.Conn, br *bufio.Reader) {
+		var copied string // of the response before on this connection
+		for r := readRequest(br); r != nil; r = readRequest(br) {
+			own := ""
+			switch r.URL.Path {
+			case dialect.PathHealth:
+				own = answerText("", "", `{"incarnation":7,"models":[{"model":"m","weights_version":"2"}]}`)
+			case dialect.PathLoad:
+				own = answerText("", "", `{"incarnation":7,"running":3}`)
+			case dialect.PathEvents:
+				own = answerText("", "", `{"incarnation":7,"oldest":1,"next":9,"events":[]}`)
+			case dialect.PathCancel:
+				own = "HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n"
+			}
+			if copied != "" {
+				copies.Add(1)
+			}
+			io.WriteString(c, copied+own)
+			copied = own
+		}
+	})
+	h := newClient(t, url, false, Limits{})
+	for range 10 {
+		health, err := h.Health(t.Context())
+		is.NoErr(err)
+		is.Equal(len(health.Models), 1)
+		load, err := h.Load(t.Context())
+		is.NoErr(err)
+		is.Equal(load.Running, 3)
+		is.NoErr(h.Cancel(t.Context(), "r0", 1))
+		events, err := h.Events(t.Context(), 3)
+		is.NoErr(err)
+		is.Equal(events.Next, uint64(9))
+	}
+	is.True(copies.Load() > 0)
+}
--- a/internal/keptconn/keptconn.go
+++ b/internal/keptconn/keptconn.go
@@ -24,8 +24,8 @@
 // closes a connection on which it has read more than the response, but may use it before that.
 const firstSettleTime = time.Millisecond
 
-// errTooLong is returned for a response whose body exceeds the limit.
-var errTooLong = errors.New("the response is too long")
+// ErrTooLong is returned for a response whose body exceeds the limit.
+var ErrTooLong = errors.New("the response is too long")
 
 // Client sends queries. It is safe for concurrent use.
 type Client struct {
@@ -35,13 +35,16 @@
 }
 
 // New returns a client whose connections are those of t, which must not be used otherwise and must keep
-// connections. Its DialContext and its limits on idle connections are replaced: a connection that is closed as
+// connections. It returns redirects instead of following them. The limits of t on idle connections are replaced: a connection that is closed as
 // there are too many would look like one with more bytes. IdleConnTimeout bounds them.
 func New(t *http.Transport, settle time.Duration) *Client {
-	var dialer net.Dialer
+	dial := t.DialContext
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
 	t.MaxIdleConns, t.MaxIdleConnsPerHost = 0, math.MaxInt
 	t.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dialer.DialContext(ctx, network, address)
+		c, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
@@ -49,9 +52,13 @@
 	}
 	fresh := t.Clone()
 	fresh.DisableKeepAlives = true
-	return &Client{kept: &http.Client{Transport: t}, fresh: &http.Client{Transport: fresh}, settle: settle}
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{kept: &http.Client{Transport: t, CheckRedirect: noRedirect}, fresh: &http.Client{Transport: fresh, CheckRedirect: noRedirect}, settle: settle}
 }
 
+// CloseIdleConnections closes the connections that are not in use.
+func (c *Client) CloseIdleConnections() { c.kept.CloseIdleConnections() }
+
 // Do sends a query, which may be sent twice, and returns the response with its body, which has at most limit bytes.
 // A response behind which more bytes arrive is used only if it is the first one on its connection: that is no
 // copy. Else the query is sent again on a new connection. That happens too if queries to one server follow one
@@ -89,7 +96,7 @@
 		return nil, nil, false, err
 	}
 	if int64(len(body)) > limit {
-		return nil, nil, false, errTooLong
+		return nil, nil, false, ErrTooLong
 	}
 	if resp.Close || used == nil || client == c.fresh {
 		return resp, body, true, nil
--- a/internal/keptconn/keptconn_test.go
+++ b/internal/keptconn/keptconn_test.go
@@ -211,5 +211,5 @@
 	req, err = http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.address+"/", nil)
 	is.NoErr(err)
 	_, _, err = client.Do(req, 0)
-	is.True(errors.Is(err, errTooLong))
+	is.True(errors.Is(err, ErrTooLong))
 }
