--- a/internal/engine/refusals_test.go
+++ b/internal/engine/refusals_test.go
@@ -270,3 +270,73 @@
 	}
 	is.True(copies.Load() > 0)
 }
+
+// Guards against the copy of a refusal for a request that comes again with the same ID and the same attempt, as a
+// caller that was refused sends it: one that runs at most once must not be told not to have run.
+func TestCopyForARequestThatComesAgain(t *testing.T) {
+	is := is.New(t)
+	var arrived, ran atomic.Int32
+	url := serveConnections(t, func(c net.Conn, br *bufio.Reader) {
+		copied := ""
+		for r := readRequest(br); r != nil; r = readRequest(br) {
+			io.WriteString(c, copied) // alone, so that nothing contradicts it
+			time.Sleep(10 * time.Millisecond)
+			if arrived.Add(1)%2 == 1 {
+				copied = refusalText("r1", "2", dialect.RefusalOverloaded)
+				io.WriteString(c, copied)
+				continue
+			}
+			ran.Add(1)
+			io.WriteString(c, answerText("r1", "2", "second"))
+		}
+	})
+	h := newClient(t, url, false, Limits{})
+	req := testRequest(false)
+	req.AtMostOnce = true
+	for range 5 {
+		_, _, err := readAll(h, req)
+		is.True(err != nil)
+		is.Equal(fault.From(err).Outcome, fault.NotRun)
+		text, _, err := readAll(h, req)
+		is.NoErr(err)
+		is.Equal(text, "second")
+	}
+	is.Equal(ran.Load(), int32(5))
+}
+
+// Guards against a refusal that comes before the request's body was written, and is no longer taken for one, and
+// against the rest of that body, or other requests, on its connection.
+func TestRefusalBeforeTheBodyIsWritten(t *testing.T) {
+	for _, atMostOnce := range []bool{true, false} {
+		t.Run(fmt.Sprintf("at most once %v", atMostOnce), func(t *testing.T) {
+			is := is.New(t)
+			behind := make(chan string, 1)
+			url := serveConnections(t, func(c net.Conn, br *bufio.Reader) {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				if r.ContentLength < 1<<20 {
+					io.WriteString(c, answerText("r1", r.Header.Get(dialect.Attempt), "short"))
+					return
+				}
+				io.WriteString(c, refusalText("r1", "2", dialect.RefusalOverloaded))
+				time.Sleep(100 * time.Millisecond)
+				data, _ := io.ReadAll(br)
+				behind <- strings.Trim(string(data), "x")
+			})
+			h := newClient(t, url, false, Limits{})
+			req := testRequest(false)
+			req.AtMostOnce, req.Body = atMostOnce, []byte(strings.Repeat("x", 8<<20))
+			_, _, err := readAll(h, req)
+			is.True(err != nil)
+			is.Equal(fault.From(err).Outcome, fault.NotRun)
+			next := testRequest(false)
+			next.Attempt = 3
+			text, _, err := readAll(h, next)
+			is.NoErr(err)
+			is.Equal(text, "short")
+			is.Equal(<-behind, "") // only the body
+		})
+	}
+}
