control: copies of earlier cache events are ignored

A source of cache events that wrote an earlier response once more could leave the leader with parts of prompts that the source had evicted: routers prefer an engine for them that has to read the prompt again.

Cause: a copy moved the position back, the response behind it answered a request from the position before, and the events between were not applied again.

A batch that ends before the position, in the same epoch, is ignored; after three in a row the position of the source itself has gone back, and what is known of it is dropped. The last batch once more changes nothing.

Evidence: TestCopiesOfCacheEventsConverge failed before. TestSourceCacheFollowsEvents used batches without a position; they have increasing ones now, as those of a source.

--- a/internal/control/cache_tracker.go
+++ b/internal/control/cache_tracker.go
@@ -34,6 +34,9 @@
 	engineFilterParts = 64
 	// storeFilterParts bounds the parts that a digest reports for one store.
 	storeFilterParts = 768
+	// maxBackward is the number of batches in a row from before the position that are ignored. The position
+	// of a source that goes on with them has gone back.
+	maxBackward = 3
 	// maxSources bounds the engines and stores whose events are followed. Each takes a
 	// connection and about 20 kB of the leader's memory. The cache contents of other
 	// engines are unknown; routers estimate them from an engine's rank in the
@@ -56,17 +59,26 @@
 	epoch uint64
 	// next is the position from which to request the next batch.
 	next uint64
+	// backward counts the last batches in a row that ended before next.
+	backward int
 	// cancel stops following the source.
 	cancel context.CancelFunc
 }
 
 // apply applies a batch of events. After a gap or a restart of the source, earlier
 // parts are dropped because their state is unknown. apply reports whether the position in the
-// events has advanced.
+// events has advanced. It ignores a batch that ends before the position: it is a late copy of an earlier response,
+// and the response behind it would not repeat all events that follow the copy's.
 func (c *sourceCache) apply(batch *fleet.CacheEvents) (advanced bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if batch.Epoch != c.epoch || batch.Lost {
+	goesBack := batch.Epoch == c.epoch && batch.Next < c.next
+	if goesBack && c.backward < maxBackward {
+		c.backward++
+		return false
+	}
+	c.backward = 0
+	if batch.Epoch != c.epoch || batch.Lost || goesBack {
 		c.parts = map[uint64]uint64{}
 		c.epoch = batch.Epoch
 	}
--- a/internal/control/cache_tracker_test.go
+++ b/internal/control/cache_tracker_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +34,7 @@
 	is.Equal(len(c.newest(9)), 0) // the source restarted with an empty cache
 	is.Equal(c.next, uint64(1))
 	for key := range uint64(storeFilterParts + 9) {
-		c.apply(&fleet.CacheEvents{Epoch: 2, Events: []fleet.CacheEvent{storedEvent(key)}})
+		c.apply(&fleet.CacheEvents{Epoch: 2, Next: 2 + key, Events: []fleet.CacheEvent{storedEvent(key)}})
 	}
 	is.Equal(len(c.newest(storeFilterParts)), storeFilterParts)
 	is.Equal(c.newest(1), []uint64{storeFilterParts + 8})
@@ -114,3 +116,64 @@
 		})
 	}
 }
+
+// Guards against a copy of an earlier batch of cache events, as a faulty source writes it on a kept connection, that
+// leaves parts known which the source has evicted. The responses then come one request late until the connection
+// ends.
+func TestCopiesOfCacheEventsConverge(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 300 {
+		var events []fleet.CacheEvent
+		truth := map[uint64]bool{}
+		answer := func(since uint64) *fleet.CacheEvents {
+			return &fleet.CacheEvents{Epoch: 7, Next: uint64(len(events)), Events: slices.Clone(events[since:])}
+		}
+		c := &sourceCache{parts: map[uint64]uint64{}}
+		var sent, due []*fleet.CacheEvents // on the connection: all responses, and those that are not read yet
+		for range 60 {
+			for range random.IntN(4) {
+				key := random.Uint64N(5)
+				truth[key] = !truth[key]
+				if truth[key] {
+					events = append(events, storedEvent(key))
+				} else {
+					events = append(events, fleet.CacheEvent{Key: key})
+				}
+			}
+			if len(sent) > 0 && random.IntN(4) == 0 {
+				due = append(due, sent[random.IntN(len(sent))])
+			}
+			own := answer(c.next)
+			sent, due = append(sent, own), append(due, own)
+			c.apply(due[0])
+			due = due[1:]
+			if len(due) > 0 && random.IntN(3) == 0 { // it arrives before the next request is sent
+				sent, due = nil, nil
+			}
+		}
+		// The source's own responses, until none is due.
+		for _, batch := range append(due, answer(c.next)) {
+			c.apply(batch)
+		}
+		c.apply(answer(c.next))
+		for key := range uint64(5) {
+			is.Equal(c.parts[key] > 0, truth[key])
+		}
+	}
+}
+
+// Guards against a source that is not followed any more since its position went back without a new epoch.
+func TestSourceWhosePositionGoesBackIsFollowed(t *testing.T) {
+	is := is.New(t)
+	c := &sourceCache{parts: map[uint64]uint64{}}
+	c.apply(&fleet.CacheEvents{Epoch: 1, Next: 9, Events: []fleet.CacheEvent{storedEvent(1)}})
+	for range maxBackward {
+		is.True(!c.apply(&fleet.CacheEvents{Epoch: 1, Next: 2, Events: []fleet.CacheEvent{storedEvent(2)}}))
+		is.Equal(c.newest(9), []uint64{1})
+		is.Equal(c.next, uint64(9))
+	}
+	c.apply(&fleet.CacheEvents{Epoch: 1, Next: 2, Events: []fleet.CacheEvent{storedEvent(2)}})
+	is.Equal(c.newest(9), []uint64{2})
+	is.Equal(c.next, uint64(2))
+}
