--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -160,7 +160,31 @@
 		"a refusal and bytes that are no response":                 {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id) + "beyond\r\n\r\n", false }, calls: []string{"c1"}, served: true},
 		"a refusal and a response to another call":                 {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id) + answerOf("c0"), false }, calls: []string{"c1"}, served: true},
 		"a refusal and the answer in two parts":                    {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id), true }, calls: []string{"c1"}, split: true},
-		"a refusal":                                                {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id), false }, calls: []string{"c1"}, served: true},
+		"a refusal without a length and the answer": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Content-Length: 0\r\n", "", 1), true
+		}, calls: []string{"c1"}},
+		"a refusal without a length and the answer in two parts": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Content-Length: 0\r\n", "", 1), true
+		}, calls: []string{"c1"}, split: true},
+		"a refusal whose length covers the head of the answer": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Length: 0", "Length: 40", 1), true
+		}, calls: []string{"c1"}},
+		"a refusal whose length covers the answer": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Length: 0", "Length: 400", 1), true
+		}, calls: []string{"c1"}},
+		"a refusal with a text, without a length, and the answer": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Content-Length: 0\r\n", "", 1) + "full\n", true
+		}, calls: []string{"c1"}},
+		"a refusal in chunks that do not end, and the answer": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Content-Length: 0", "Transfer-Encoding: chunked", 1), true
+		}, calls: []string{"c1"}},
+		"a refusal with a text that names a status": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Length: 0", "Length: 37", 1) + "the peer said HTTP/1.1 500 Y\r\nCall: x", false
+		}, calls: []string{"c1"}, served: true},
+		"a refusal without a length": {faulty: func(id string, _, _ int) (string, bool) {
+			return strings.Replace(refusalOf(id), "Content-Length: 0\r\n", "", 1) + "full", false
+		}, calls: []string{"c1"}, served: true},
+		"a refusal": {faulty: func(id string, _, _ int) (string, bool) { return refusalOf(id), false }, calls: []string{"c1"}, served: true},
 		"an interim response that states a refusal": {faulty: func(id string, _, _ int) (string, bool) {
 			return "HTTP/1.1 103 X\r\nCall: " + id + "\r\nNot-Run: 1\r\n\r\n", true
 		}, calls: []string{"c1"}, served: true},
@@ -368,3 +392,70 @@
 	is.True(s.contains(now.Add(9*sentMemory), "a", fmt.Sprint(3*maxSent-1)))
 	is.True(s.contains(now.Add(9*sentMemory), "a", fmt.Sprint(2*maxSent)))
 }
+
+// Guards against the copy of a refusal of a call that the memory of sent calls has forgotten, since thousands
+// of others were sent, and that comes again under its ID on a connection which was in use all the time.
+func TestCopyForAForgottenCall(t *testing.T) {
+	for name, response := range map[string]func(string) string{"refusal": refusalOf, "421": misdirectionOf} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			count := newRunCounter()
+			var mu sync.Mutex
+			carried := map[net.Conn]bool{} // connections that carried the first call
+			arrived := 0
+			r := newFixture(t, forwardRoute(setAtMostOnce), acceptingBackend(t, "", func(c net.Conn, req *http.Request) {
+				mu.Lock()
+				arrived++
+				first, late := arrived == 1, carried[c]
+				carried[c] = true
+				mu.Unlock()
+				copied := response(req.Header.Get("Call"))
+				switch {
+				case first:
+					io.WriteString(c, copied)
+				case late:
+					io.WriteString(c, copied) // alone, so that nothing contradicts it
+					time.Sleep(20 * time.Millisecond)
+					count.run(c, req)
+				default:
+					count.run(c, req)
+				}
+			}))
+			status, _, _, err := r.call()
+			is.NoErr(err)
+			is.Equal(status, 503)
+			r.forgetFailures()
+			r.keepIdle()
+			for i := range 2*maxSent + 1 {
+				r.f.connPool.sent.add(time.Now(), "other", fmt.Sprint(i))
+			}
+			status, _, _, err = r.call()
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+			t.Logf("status %d, %d runs", status, count.of("c1"))
+			is.True(count.of("c1") <= 1)
+			is.True(!impliesNotExecuted(status) || count.of("c1") == 0)
+		})
+	}
+}
+
+// Guards against a connection whose memory of calls grows without bound, or that is not used again although
+// it has carried other calls only.
+func TestConnectionsRememberTheirCalls(t *testing.T) {
+	is := is.New(t)
+	var accepted atomic.Int32
+	address := startListener(t, func(c net.Conn) {
+		accepted.Add(1)
+		_, _ = io.Copy(io.Discard, c)
+	})
+	pool := newConnPool()
+	for i := range 2 * maxCallsPerConn {
+		id := fmt.Sprint("c", i)
+		c, err := pool.get(t.Context(), address, 0, id)
+		is.NoErr(err)
+		is.True(!pool.recordSent(c, id))
+		is.True(!c.mayCarry(pool.sent.hash(address, id)))
+		pool.put(c, time.Minute)
+	}
+	is.Equal(accepted.Load(), int32(2))
+}
