forward: a backend server that reads a long body late keeps its connection

Callers got 502, or a cut response, about 1.4 s after a request with a long body was sent to a sound backend server that did not read the body for 900 ms, also if it had begun to answer. Each attempt was ended in the same way.

The kernel of such a server acknowledges all probes, but with a closed window, and Linux ends a connection with TCP_USER_TIMEOUT also if its window stays closed for that time. The log showed the outcome silent or broken.

Connections that carry a body of more than 8 KiB (asyncBodySize) now have no TCP_USER_TIMEOUT from then on. A machine that is gone is still noticed by the watch of the attempt.

TestLongBodyToDarkServerGoesOnElsewhere shows that a call with a long body still goes on elsewhere.

--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -31,7 +31,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// userTimeout is the value of TCP_USER_TIMEOUT: sent bytes that stay
 	// unacknowledged for this time end the connection. It detects peers that are
-	// cut off without a reset.
+	// cut off without a reset. Bytes behind a closed window count too, so it does not hold on
+	// connections that have carried a long body; see acceptClosedWindow.
 	userTimeout = 900 * time.Millisecond
 	// keepAliveIdle is the idle time before the first TCP keep-alive probe on a
 	// connection that waits for a response, and keepAliveInterval the time
@@ -104,16 +105,35 @@
 }
 
 // controlSocket sets TCP_USER_TIMEOUT on a socket.
-func controlSocket(_, _ string, c syscall.RawConn) error {
+func controlSocket(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, userTimeout) }
+
+// setUserTimeout sets TCP_USER_TIMEOUT on a socket; 0 stands for none.
+func setUserTimeout(c syscall.RawConn, timeout time.Duration) error {
 	var err error
 	if controlErr := c.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	}); controlErr != nil {
 		return controlErr
 	}
 	return err
 }
 
+// acceptClosedWindow removes the TCP_USER_TIMEOUT of the connection. A backend server may read a long body
+// late, and meanwhile its kernel answers each probe with a closed window. TCP_USER_TIMEOUT ends such a
+// connection too, also if the backend server has begun its response. The attempt's watch still notices a
+// machine that does not answer.
+func (c *conn) acceptClosedWindow() error {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setUserTimeout(raw, 0)
+}
+
 // conn is a connection to a backend server. It carries one call at a time.
 type conn struct {
 	net.Conn
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -74,6 +74,9 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.setDeadline(deadline) // fails only on a closed connection, on which the write fails too
 	}
+	if len(body) > asyncBodySize {
+		_ = c.acceptClosedWindow() // fails only on a closed connection
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	var info ResponseInfo
 	resp, reqWrite, sent, err := c.roundTrip(ctx, req, len(body), func(resp *http.Response) bool {
