forward: a dial that times out cuts no stream with usual pauses

Streams of a sound backend server were cut, or went on elsewhere, although their events came in pauses of less than 400 ms.

A dial that times out, and a suspicion of the leader, lead to a check at once. A listener whose queue is full drops the connections of the check as a machine that is gone does, and the result was used unless a byte came within the check, which takes 250 ms. The pause of a stream with an event each 370 ms often covers that.

The result of a check that no silent attempt has asked for is now used only if nothing came from the address for silenceBeforeCheck (400 ms), as for other attempts.

TestDialTimeoutCutsNoSoundStream, with a real listener whose queue is full, failed in four of four runs before the change: the stream ended after 1.1 s.

--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -240,11 +240,17 @@
 
 // check checks whether the machine of a backend server answers, and ends all attempts there if it
 // does not. silent is the attempt that has asked for the check since it was silent from a time on;
-// it may be nil. check returns when the check began, which may have been run for another attempt.
+// it may be nil. Then the result is used only if nothing has arrived from there for silenceBeforeCheck
+// either, since the pauses of a sound stream may be longer than a check. check returns when the check
+// began, which may have been run for another attempt.
 func (g *silenceGuard) check(b *wire.Backend, silent *watchedAttempt, silentSince time.Time) time.Time {
 	finding := g.monitor.Check(context.Background(), b.GetAddress(), func() string { return g.witness(b.GetAddress()) })
 	if finding.Result == reach.Unreachable {
-		g.unreachable(b, finding.Began, silent, silentSince)
+		since := finding.Began
+		if earliest := time.Now().Add(-silenceBeforeCheck); silent == nil && earliest.Before(since) {
+			since = earliest
+		}
+		g.unreachable(b, since, silent, silentSince)
 	}
 	return finding.Began
 }
@@ -268,17 +274,17 @@
 	return address
 }
 
-// unreachable ends all attempts at the address of a backend server that a check, begun at a given
-// time, could not reach. A result that is contradicted by something that arrived from there since
-// is not used: the machine may have dropped the connections of the check as too many were being
+// unreachable ends all attempts at the address of a backend server that a check could not reach. since is
+// when the check began, or before. A result that is contradicted by something that arrived from there since
+// then is not used: the machine may have dropped the connections of the check as too many were being
 // opened. The attempt that asked for the check must not have heard anything since it fell silent:
 // on a busy VM, what arrived right before the check may not have been read yet.
-func (g *silenceGuard) unreachable(b *wire.Backend, began time.Time, silent *watchedAttempt, silentSince time.Time) {
+func (g *silenceGuard) unreachable(b *wire.Backend, since time.Time, silent *watchedAttempt, silentSince time.Time) {
 	address := b.GetAddress()
 	g.mu.Lock()
 	attempts := g.attempts[address]
 	for a := range attempts {
-		if a.heardSince(began) || a == silent && a.heardSince(silentSince) {
+		if a.heardSince(since) || a == silent && a.heardSince(silentSince) {
 			g.mu.Unlock()
 			silence.Add("contradicted", 1)
 			return
