forward: only a response that has begun outlasts a check that reaches no server

Where a router's own network was slow, callers that had received nothing waited there, and before had come back at another router. Change: if neither the server nor the witness answers (reach.NoneReachable), attempts whose callers have received a part of the response go on; the others end as they did before, and the leader is not told. A response that is no stream counts as begun once its head has been passed on.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -291,6 +291,7 @@
 		return &failure{InvalidResponse, errStopEnds}, Step{}
 	}
 	c.writeHeader(r, r.length)
+	c.allowEndOfStalled() // the caller has received a part
 	c.writeBody(body)
 	rest := &errorRecorder{Reader: r.body}
 	_, err = io.Copy(c.w, rest)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"expvar"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -243,8 +245,8 @@
 // it may be nil. check returns when the check began, which may have been run for another attempt.
 func (g *silenceGuard) check(b *wire.Backend, silent *watchedAttempt, silentSince time.Time) time.Time {
 	finding := g.monitor.Check(context.Background(), b.GetAddress(), func() string { return g.witness(b.GetAddress()) })
-	if finding.Result == reach.Unreachable {
-		g.unreachable(b, finding.Began, silent, silentSince)
+	if finding.Result == reach.Unreachable || finding.Result == reach.NoneReachable {
+		g.unreachable(b, finding, silent, silentSince)
 	}
 	return finding.Began
 }
@@ -273,33 +275,44 @@
 // is not used: the machine may have dropped the connections of the check as too many were being
 // opened. The attempt that asked for the check must not have heard anything since it fell silent:
 // on a busy VM, what arrived right before the check may not have been read yet.
-func (g *silenceGuard) unreachable(b *wire.Backend, began time.Time, silent *watchedAttempt, silentSince time.Time) {
+//
+// If the router could not reach any server, the server may be sound: attempts whose callers have
+// received a part of the response go on, and the leader is not told. The other callers may come back at
+// a router with a better network.
+func (g *silenceGuard) unreachable(b *wire.Backend, finding reach.Finding, silent *watchedAttempt, silentSince time.Time) {
 	address := b.GetAddress()
 	g.mu.Lock()
 	attempts := g.attempts[address]
 	for a := range attempts {
-		if a.heardSince(began) || a == silent && a.heardSince(silentSince) {
+		if a.heardSince(finding.Began) || a == silent && a.heardSince(silentSince) {
 			g.mu.Unlock()
 			silence.Add("contradicted", 1)
 			return
 		}
 	}
-	delete(g.attempts, address)
+	ending := slices.Collect(maps.Keys(attempts))
+	if finding.Result == reach.Unreachable {
+		delete(g.attempts, address)
+	}
 	g.mu.Unlock()
-	g.connPool.closeIdle(address)
+	if finding.Result == reach.Unreachable {
+		g.connPool.closeIdle(address)
+	}
 	lost := &lostServer{}
-	for a := range attempts {
+	for _, a := range ending {
 		a.mu.Lock()
-		ended := a.ended
-		a.ended = true
+		kept := a.ended || a.delivered && finding.Result == reach.NoneReachable
+		a.ended = a.ended || !kept
 		a.mu.Unlock()
-		if !ended {
+		if !kept {
 			silence.Add("attempts_ended", 1)
 			a.lost = lost
 			a.cancel(errUnreachable)
 		}
 	}
-	g.report(b, len(attempts))
+	if finding.Result == reach.Unreachable {
+		g.report(b, len(ending))
+	}
 }
 
 // report logs that a backend server can't be reached, for which a number of attempts ended, and
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"parsleypulley/internal/reach"
 	"parsleypulley/internal/routing"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
@@ -697,7 +698,7 @@
 			c := &conn{head: &headLimiter{}}
 			c.head.heardAt.Store(int64(began.Add(-test.heard).Sub(clockStart)))
 			a.conn.Store(c)
-			g.unreachable(a.backend, began, a, began.Add(-400*time.Millisecond))
+			g.unreachable(a.backend, reach.Finding{Result: reach.Unreachable, Began: began}, a, began.Add(-400*time.Millisecond))
 			is.Equal(errors.Is(context.Cause(ctx), errUnreachable), test.cut)
 		})
 	}
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -47,6 +47,9 @@
 	Reachable
 	// Unreachable means that the machine did not answer.
 	Unreachable
+	// NoneReachable means that neither the machine nor the witness answered: the network of this
+	// process is slow or fails.
+	NoneReachable
 )
 
 // String returns the name of the result in logs and metrics.
@@ -56,6 +59,8 @@
 		return "reachable"
 	case Unreachable:
 		return "unreachable"
+	case NoneReachable:
+		return "none_reachable"
 	}
 	return "unknown"
 }
@@ -80,10 +85,10 @@
 // process did not run, it may have missed the answer. witness may be nil.
 func check(ctx context.Context, dialer Dialer, address string, witness Witness, now func() time.Time) Result {
 	result, late := dialWithin(ctx, dialer, address, witness, checkTimeout, 2, now)
-	if late && result == Unreachable {
+	if late && (result == Unreachable || result == NoneReachable) {
 		result, late = dialWithin(ctx, dialer, address, witness, lateCheckTimeout, 1, now)
 	}
-	if result == Unreachable && (late || ctx.Err() != nil) {
+	if (result == Unreachable || result == NoneReachable) && (late || ctx.Err() != nil) {
 		return Unknown
 	}
 	return result
@@ -115,7 +120,7 @@
 	second := time.NewTimer(secondDialAfter)
 	defer second.Stop()
 	result = Unreachable
-	witnessed, answered := false, Unknown
+	witnessed, answered := false, Unreachable
 	for open, started := 1, 1; open > 0 || started < dials || witnessResult != nil && !witnessed; {
 		select {
 		case r := <-results:
@@ -149,6 +154,9 @@
 	}
 	if witnessResult != nil && answered != Reachable && result == Unreachable {
 		result = Unknown
+		if answered == Unreachable {
+			result = NoneReachable
+		}
 	}
 	return result, now().Sub(began) > timeout+maxOverrun
 }
