forward: lines of event streams end as the standard says

What callers would have seen: a stream of a server whose lines end with carriage returns only never came; it got 502, since no event ended. An event with a carriage return within a line had another ID or no data for the router than for the caller, so that the next server was asked for the wrong event. A stream that began with a byte order mark was cut if its server broke off, since the next server's mark was no event; one whose only event began with it was cut as well. Cause: only a line feed ended a line, and the mark was a part of the first line. Change: a line ends with a line feed, a carriage return or both; the bytes are passed on unchanged. The router waits for the byte behind a carriage return only where the line before did not end with a bare one, so that no event is held back. A mark at the beginning of a response is passed on only at the beginning of the caller's stream. The reader keeps the error of the body: one that is read again after an error reports a proper end.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"parsleypulley/internal/event"
@@ -342,6 +343,7 @@
 	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer)}
 	// started is set after the first event with data, and delivered after the first event of any kind.
 	started, delivered := false, false
+	marked := events.skipMark()
 	c.position.beginAttempt(c.headerWritten)
 	var gaps routing.GapSampler
 	defer func() { c.f.selector.eventGap(d, gaps.End()) }()
@@ -367,6 +369,7 @@
 				return &failure{InvalidResponse, fmt.Errorf("%w: %.40q after %.40q", err, id, c.position.lastID)}, Step{}
 			}
 		}
+		out := event
 		now := time.Now()
 		if progress {
 			c.watched.eventArrived(now)
@@ -387,8 +390,11 @@
 			}
 			c.bindStarted(d)
 			c.writeHeader(r, -1)
+			if marked { // callers read it only at the beginning of their stream
+				out = slices.Concat(byteOrderMark, event)
+			}
 		}
-		if err := c.writeBody(event); err != nil {
+		if err := c.writeBody(out); err != nil {
 			r.close(false)
 			c.f.selector.failed(d, fault.Cancelled)
 			return nil, Step{Err: fault.New(fault.Cancelled, fault.Ran, "the caller has left: %w", err)}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -13,11 +13,39 @@
 // errEventTooLong is returned when an event exceeds maxEventBytes.
 var errEventTooLong = errors.New("event is too long")
 
-// eventReader splits an event stream into whole events.
+// byteOrderMark may stand at the beginning of a stream. Anywhere else it is part of a line.
+var byteOrderMark = []byte("\ufeff")
+
+// eventReader splits an event stream into whole events. Lines end with a line feed, a carriage return,
+// or both.
 type eventReader struct {
 	r *bufio.Reader
 	// buf holds the event being read.
 	buf []byte
+	// err is the error that ended the stream. A body that is read once more may report a proper end.
+	err error
+}
+
+// skipMark reads a byte order mark at the beginning of the stream, and reports whether there is one.
+func (e *eventReader) skipMark() bool {
+	start := e.peek(len(byteOrderMark))
+	if !bytes.Equal(start, byteOrderMark) {
+		return false
+	}
+	_, _ = e.r.Discard(len(start)) // can't fail, as they are buffered
+	return true
+}
+
+// peek returns the next n bytes, or fewer at the end of the stream.
+func (e *eventReader) peek(n int) []byte {
+	if e.err != nil {
+		n = min(n, e.r.Buffered())
+	}
+	part, err := e.r.Peek(n)
+	if err != nil {
+		e.err = err
+	}
+	return part
 }
 
 // next returns the next complete event, including the blank line that ends it,
@@ -27,41 +55,81 @@
 // io.ErrUnexpectedEOF if the last event is incomplete.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.buf = e.buf[:0]
-	// inLine is set while a line that is longer than the buffer of r is read: its end looks like a
-	// blank line if the rest fits the buffer exactly.
-	inLine := false
+	// lineStart is where the current line begins in buf, and bareReturn is set if the line before it
+	// ended with a carriage return only.
+	lineStart, bareReturn := 0, false
 	for {
-		line, err := e.r.ReadSlice('\n')
-		e.buf = append(e.buf, line...)
 		if len(e.buf) > maxEventBytes {
 			return nil, "", errEventTooLong
 		}
-		if errors.Is(err, bufio.ErrBufferFull) {
-			inLine = true
-			continue
-		}
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.buf) > 0 {
-				err = io.ErrUnexpectedEOF
+		if len(e.peek(1)) == 0 {
+			if errors.Is(e.err, io.EOF) && len(e.buf) > 0 {
+				return nil, "", io.ErrUnexpectedEOF
 			}
-			return nil, "", err
+			return nil, "", e.err
 		}
-		if !inLine && len(bytes.TrimRight(line, "\r\n")) == 0 {
+		part := e.peek(e.r.Buffered())
+		i := bytes.IndexAny(part, "\r\n")
+		switch {
+		case i < 0:
+			e.take(part)
+			continue
+		case i > 0:
+			e.take(part[:i])
+			continue
+		}
+		blank := len(e.buf) == lineStart
+		end := e.lineEnd(bareReturn)
+		bareReturn = len(end) == 1 && end[0] == '\r'
+		e.take(end)
+		if blank {
 			return e.buf, eventID(e.buf), nil
 		}
-		inLine = false
+		lineStart = len(e.buf)
+	}
+}
+
+// take appends the next unread bytes, which part holds, to the event.
+func (e *eventReader) take(part []byte) {
+	e.buf = append(e.buf, part...)
+	_, _ = e.r.Discard(len(part)) // can't fail, as they are buffered
+}
+
+// lineEnd returns the line end that the next unread byte begins. It waits for the byte behind a carriage
+// return, which is part of the line end if it is a line feed, unless the line before had no line feed: an
+// event would be held back until the next one comes.
+func (e *eventReader) lineEnd(bareReturn bool) []byte {
+	end := e.peek(1)
+	if end[0] == '\n' || bareReturn && e.r.Buffered() == 1 {
+		return end
+	}
+	if end = e.peek(2); len(end) == 2 && end[1] == '\n' {
+		return end
+	}
+	return end[:1]
+}
+
+// nextLine returns the first line of an event without its end, and the rest of the event.
+func nextLine(event []byte) (line, rest []byte) {
+	i := bytes.IndexAny(event, "\r\n")
+	if i < 0 {
+		return event, nil
+	}
+	if bytes.HasPrefix(event[i:], []byte("\r\n")) {
+		return event[:i], event[i+2:]
 	}
+	return event[:i], event[i+1:]
 }
 
 // hasData reports whether an event has a data field. Callers ignore others, so servers send them
 // also while they make no progress.
 func hasData(event []byte) bool {
 	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		if value, ok := bytes.CutPrefix(line, []byte("data")); ok && (len(bytes.TrimRight(value, "\r")) == 0 || value[0] == ':') {
+		var line []byte
+		line, event = nextLine(event)
+		if value, ok := bytes.CutPrefix(line, []byte("data")); ok && (len(value) == 0 || value[0] == ':') {
 			return true
 		}
-		event = rest
 	}
 	return false
 }
@@ -70,13 +138,11 @@
 func eventID(event []byte) string {
 	var id []byte
 	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			id = bytes.TrimSpace(value)
-		} else if string(bytes.TrimSuffix(line, []byte("\r"))) == "id" {
-			id = nil
+		var line []byte
+		line, event = nextLine(event)
+		if value, ok := bytes.CutPrefix(line, []byte("id")); ok && (len(value) == 0 || value[0] == ':') {
+			id = bytes.TrimSpace(bytes.TrimPrefix(value, []byte(":")))
 		}
-		event = rest
 	}
 	return string(id)
 }
--- a/internal/forward/position.go
+++ b/internal/forward/position.go
@@ -94,8 +94,8 @@
 func isEvent(event []byte, progress bool) bool {
 	for len(event) > 0 {
 		var line []byte
-		line, event, _ = bytes.Cut(event, []byte("\n"))
-		name, _, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		line, event = nextLine(event)
+		name, _, _ := bytes.Cut(line, []byte(":"))
 		switch string(name) {
 		case "", "id", "event", "retry":
 			continue
