forward: an event ID that callers ignore or no request can name is no position

What callers would have seen: a stream that breaks off after an event whose ID contains a NUL was asked to go on after that ID (a malformed header, which servers refuse or read as another ID) and not after the one that callers have, so that it was cut or could repeat events. Cause: the standard tells callers to ignore IDs with a NUL; the router took them. Other control characters can't be sent in a header. Change: an ID with a NUL does not count; after one with another control character the position is not known, as after an event without an ID. Evidence: TestIDsThatCantBeNamed (NUL beside a proper ID, NUL without data) and TestIDsThatNoRequestCanName fail before.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -134,13 +134,14 @@
 	return false
 }
 
-// eventID returns the value of an event's last id field, which is the one that callers go by.
+// eventID returns the value of an event's last id field, which is the one that callers go by. Callers
+// ignore IDs with a NUL.
 func eventID(event []byte) string {
 	var id []byte
 	for len(event) > 0 {
 		var line []byte
 		line, event = nextLine(event)
-		if value, ok := bytes.CutPrefix(line, []byte("id")); ok && (len(value) == 0 || value[0] == ':') {
+		if value, ok := bytes.CutPrefix(line, []byte("id")); ok && (len(value) == 0 || value[0] == ':') && !bytes.Contains(value, []byte{0}) {
 			id = bytes.TrimSpace(bytes.TrimPrefix(value, []byte(":")))
 		}
 	}
--- a/internal/forward/position.go
+++ b/internal/forward/position.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"strings"
 )
 
 // Reasons for which an event does not go on with a stream.
@@ -26,7 +27,7 @@
 	// lastID is the ID of the newest event that the caller has; empty at the beginning.
 	lastID string
 	// unknown is set while the caller has events after lastID: another server that goes on after
-	// lastID would repeat them.
+	// lastID would repeat them. It is also set while no request can name lastID.
 	unknown bool
 	// events counts the events with data that this call has brought, and gaps is set unless their
 	// IDs are consecutive numbers.
@@ -77,7 +78,7 @@
 	}
 	switch {
 	case id != "":
-		p.lastID, p.unknown = id, false
+		p.lastID, p.unknown = id, !canBeNamed(id)
 	case progress || !isEvent(event, progress):
 		p.unknown = true
 	}
@@ -89,6 +90,11 @@
 	return n, err == nil
 }
 
+// canBeNamed reports whether the value of a header can be an event ID.
+func canBeNamed(id string) bool {
+	return !strings.ContainsFunc(id, func(c rune) bool { return c < ' ' && c != '\t' || c == '\x7f' })
+}
+
 // isEvent reports whether all lines of an event are comments or fields. Servers may add fields to
 // events with data only: without data, a document could be taken for an event.
 func isEvent(event []byte, progress bool) bool {
--- a/internal/forward/position_test.go
+++ b/internal/forward/position_test.go
@@ -70,3 +70,16 @@
 		is.True(errors.Is(p.check([]byte(text), eventID([]byte(text)), hasData([]byte(text))), want))
 	}
 }
+
+// Guards against a stream that goes on after an ID that no request can name: a server that reads another one
+// there, or none, repeats events.
+func TestIDsThatNoRequestCanName(t *testing.T) {
+	for id, unknown := range map[string]bool{"3": false, "a b\tc": false, "\u00e9": false, "3\x01": true, "3\x7f": true, "3\x00": true} {
+		is := is.New(t)
+		p := streamPosition{}
+		p.beginAttempt(false)
+		event := []byte("id: " + id + "\ndata: x\n\n")
+		p.sent(event, eventID(event), true)
+		is.Equal(p.unknown, unknown)
+	}
+}
--- a/internal/forward/streamlines_test.go
+++ b/internal/forward/streamlines_test.go
@@ -126,3 +126,47 @@
 		}
 	}
 }
+
+// Guards against the ID of an event that callers ignore, or that no request can name: another server would go
+// on at an event that the caller does not have.
+func TestIDsThatCantBeNamed(t *testing.T) {
+	for name, test := range map[string]struct {
+		// last is the last event of the first server, and after the ID that the second one gets; "-" if none
+		// must be asked.
+		last, after string
+	}{
+		"NUL":                      {"id: 3\x00\ndata: x\n\n", "-"},
+		"control character":        {"id: 3\x01\ndata: x\n\n", "-"},
+		"DEL":                      {"id: 3\x7f\ndata: x\n\n", "-"},
+		"NUL, and a proper one":    {"id: 3\nid: 4\x00\ndata: x\n\n", "3"},
+		"NUL, without data":        {"id: 9\x00\n\n", "2"},
+		"carriage return after it": {"id: 3\rdata: x\n\n", "3"},
+		"carriage return before":   {"data: x\rid: 3\n\n", "3"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var made atomic.Int32
+			after := "-"
+			script := func(c net.Conn, r *http.Request) {
+				if made.Add(1) == 1 {
+					writeStream(c, r, streamType, eventText(1, 2)+test.last, false)
+					return
+				}
+				after = r.Header.Get("After")
+				next, _ := strconv.Atoi(after)
+				writeStream(c, r, streamType, eventText(next+1, 5), true)
+			}
+			f := newFixture(t, forwardRoute(setResumableStream), startBackend(t, script), startBackend(t, script))
+			_, body, complete := splitResponse(f.callRaw())
+			t.Logf("%q", body)
+			is.Equal(after, test.after)
+			is.Equal(made.Load(), map[bool]int32{true: 1, false: 2}[test.after == "-"])
+			is.Equal(complete, test.after != "-")
+			if complete {
+				ids, whole := callerEvents(body)
+				is.True(whole)
+				is.Equal(ids, idsUpTo(5))
+			}
+		})
+	}
+}
