daemon: a response to an HTTP/1.0 caller that is cut ends with a reset

What callers saw: a caller that speaks HTTP/1.0 (as some proxies do to their upstream servers) got the begin of a stream, or of a long response without a length, and then an orderly end of the connection, which completes a response without chunks. Cause: net/http ends a connection after a panic with http.ErrAbortHandler, and http.Server.Close does, by a plain close, which sends a FIN. Change: while a request of HTTP/1.0 is handled, SO_LINGER of its connection is 0, so that its end by anyone (a panic, the end of a planned stop, the end of the process) is a reset. When the handler has returned, what is left of a response without a length is written, and the option is restored. HTTP/1.1 is unchanged: there the last chunk is missing.

--- a/internal/daemon/httpserver.go
+++ b/internal/daemon/httpserver.go
@@ -128,16 +128,49 @@
 	s := &HTTPServer{server: server, listener: stopListener{ln}, conns: map[*stopConn]connStatus{}}
 	server.ConnState = s.track
 	server.BaseContext = func(net.Listener) context.Context { return context.WithValue(context.Background(), serverKey{}, s) }
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if s.stopping.Load() {
 			w.Header().Set("Connection", "close")
 		}
+		complete := func() {}
+		if !r.ProtoAtLeast(1, 1) {
+			complete = resetUnlessComplete(w, r)
+		}
 		handler.ServeHTTP(w, r)
+		complete()
 	})
 	return s
 }
 
+// connKey is the key of the connection in the contexts of its requests.
+type connKey struct{}
+
+// lingerer is a connection with the SO_LINGER option.
+type lingerer interface{ SetLinger(seconds int) error }
+
+// resetUnlessComplete makes the connection of an HTTP/1.0 request end with a reset, whoever closes it,
+// until the returned function is called after the handler. A response to such a request has no chunks:
+// if its length is not known, the orderly end of the connection completes it, and net/http ends
+// connections in that way also after a panic.
+func resetUnlessComplete(w http.ResponseWriter, r *http.Request) (complete func()) {
+	conn, ok := r.Context().Value(connKey{}).(*stopConn)
+	if !ok {
+		return func() {}
+	}
+	c, ok := conn.Conn.(lingerer)
+	if !ok || c.SetLinger(0) != nil {
+		return func() {}
+	}
+	return func() {
+		if w.Header().Get("Content-Length") == "" && http.NewResponseController(w).Flush() != nil {
+			return // the rest of the response is lost
+		}
+		_ = c.SetLinger(-1) // fails only on a closed connection
+	}
+}
+
 // serverKey is the key of the HTTPServer in the contexts of its requests.
 type serverKey struct{}
 
--- a/internal/daemon/limit.go
+++ b/internal/daemon/limit.go
@@ -66,3 +66,11 @@
 	c.once.Do(func() { c.listener.open.Add(-1) })
 	return c.Conn.Close()
 }
+
+// SetLinger sets the SO_LINGER option of a TCP connection.
+func (c *limitedConn) SetLinger(seconds int) error {
+	if conn, ok := c.Conn.(lingerer); ok {
+		return conn.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
