forward, gateway: responses to HEAD are no streams, and keep their length

What callers saw: a HEAD request on a stream route got 502, after all allowed servers were asked and counted as broken, since a response without a body looked like a stream that broke off. On all routes, and for plain services behind agents, a response to HEAD said Content-Length: 0 whatever the server had said, which RFC 9110 (8.6) forbids unless GET has that length. Cause: the body that was read gave the length, and the method was not looked at. Change: a response to HEAD is forwarded as one that is no stream, with the length that the server states. The agent path, on which the length is not transferred, states none. Evidence: TestResponsesToHEAD and TestResponseToHEADStatesNoLength fail before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -187,11 +187,12 @@
 	c.watched.wait(headAt)
 	attemptLatency.head.Record(headAt, headAt.Sub(now))
 	outcome := classifyResponse(resp)
-	if outcome == 0 && c.route.GetStream() && !isEventStream(resp) {
+	stream := c.route.GetStream() && c.r.Method != http.MethodHead
+	if outcome == 0 && stream && !isEventStream(resp) {
 		outcome = noStreamOutcome(resp, c.headerWritten)
 	}
 	switch {
-	case outcome == 0 && isEventStream(resp) && c.route.GetStream():
+	case outcome == 0 && stream && isEventStream(resp):
 		c.quota.Spend()
 		return c.forwardStream(d, resp)
 	case !c.headerWritten && (outcome == 0 || outcome == Failed):
@@ -275,7 +276,11 @@
 			c.f.selector.finished(d)
 			c.answered(r)
 		}
-		c.writeHeader(r, int64(len(body)))
+		length := int64(len(body))
+		if c.r.Method == http.MethodHead {
+			length = r.length // that of the body which the response to GET would have
+		}
+		c.writeHeader(r, length)
 		if err := c.writeBody(body); err != nil {
 			return nil, Step{Err: fault.New(fault.Cancelled, fault.Ran, "the caller has left: %w", err)}
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -276,7 +276,7 @@
 // run passes req to the server and completes the response.
 func (g *Gateway) run(ctx context.Context, w http.ResponseWriter, req *Request) error {
 	resp := g.responder(w, req.CallerRequestID)
-	resp.stream, resp.call = req.Stream, req.call
+	resp.stream, resp.call, resp.noBody = req.Stream, req.call, req.Method == http.MethodHead
 	err := g.checkKey(req)
 	if err == nil {
 		err = g.server.Serve(ctx, req, resp)
--- a/internal/gateway/responder.go
+++ b/internal/gateway/responder.go
@@ -30,6 +30,8 @@
 	callerRequestID string
 	// writeTimeout is the timeout for writing one chunk.
 	writeTimeout time.Duration
+	// noBody is set if the response has no body because of the method. Its length is that of another response.
+	noBody bool
 	// stream is set if the caller asked for server-sent events.
 	stream bool
 	// sse is set if the response is a stream of server-sent events.
@@ -69,7 +71,7 @@
 		header.Set(HeaderReplayed, "true")
 	}
 	r.contentLength = h.ContentLength
-	if h.ContentLength >= 0 {
+	if h.ContentLength >= 0 && !r.noBody {
 		header.Set("Content-Length", strconv.FormatInt(h.ContentLength, 10))
 	}
 	r.status = h.Status
