forward: tests of streams that the router ends, and of resumptions that meet errors

Rows for what had no test: a head, an error and a slow error after the deadline, a call that is quarantined after its stream began, refusals and errors to a caller that takes up a stream, a byte order mark there; a stalled stream whose next server answers with an error, and the end of the planned stop between the attempts, for callers with HTTP/1.0 and 1.1.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
+	"net/url"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -16,6 +19,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"parsleypulley/internal/daemon"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/streamrecord"
 	"parsleypulley/internal/view"
@@ -335,16 +339,26 @@
 		body string
 		made int32
 	}{
-		"goes on":              {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(4, 5), true) }, 200, eventText(4, 5), 1},
-		"begins anew":          {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(1, 5), true) }, 200, eventText(4, 5), 2},
-		"repeats the last":     {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(3, 5), true) }, 200, eventText(4, 5), 2},
-		"no IDs":               {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "data: x\n\n", true) }, 200, eventText(4, 5), 2},
-		"document":             {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "not found\n\n", true) }, 200, eventText(4, 5), 2},
-		"length 0":             {func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, streamType, "") }, 200, eventText(4, 5), 2},
-		"nothing left":         {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "", true) }, 200, "", 1},
-		"nothing left, cut":    {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "", false) }, 200, eventText(4, 5), 2},
-		"nothing, no type":     {func(c net.Conn, r *http.Request) { writeStream(c, r, "", "", true) }, 200, eventText(4, 5), 2},
-		"404 of the server":    {func(c net.Conn, r *http.Request) { writeResponse(c, r, 404, "", "none\n") }, 404, "none\n", 1},
+		"goes on":           {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(4, 5), true) }, 200, eventText(4, 5), 1},
+		"begins anew":       {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(1, 5), true) }, 200, eventText(4, 5), 2},
+		"repeats the last":  {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(3, 5), true) }, 200, eventText(4, 5), 2},
+		"no IDs":            {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "data: x\n\n", true) }, 200, eventText(4, 5), 2},
+		"document":          {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "not found\n\n", true) }, 200, eventText(4, 5), 2},
+		"length 0":          {func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, streamType, "") }, 200, eventText(4, 5), 2},
+		"nothing left":      {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "", true) }, 200, "", 1},
+		"nothing left, cut": {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "", false) }, 200, eventText(4, 5), 2},
+		"nothing, no type":  {func(c net.Conn, r *http.Request) { writeStream(c, r, "", "", true) }, 200, eventText(4, 5), 2},
+		"404 of the server": {func(c net.Conn, r *http.Request) { writeResponse(c, r, 404, "", "none\n") }, 404, "none\n", 1},
+		"404, then its end": {func(c net.Conn, r *http.Request) { writeResponse(c, r, 404, "Connection: close\r\n", "none\n") }, 404, "none\n", 1},
+		"503, not run":      {func(c net.Conn, r *http.Request) { writeResponse(c, r, 503, "Not-Run: 1\r\n", "no\n\n") }, 200, eventText(4, 5), 2},
+		"500":               {func(c net.Conn, r *http.Request) { writeResponse(c, r, 500, "", "an error\n\n") }, 200, eventText(4, 5), 2},
+		"500 like events":   {func(c net.Conn, r *http.Request) { writeResponse(c, r, 500, streamType, eventText(4, 5)) }, 200, eventText(4, 5), 2},
+		"500 without the stamp": {func(c net.Conn, r *http.Request) {
+			io.WriteString(c, "HTTP/1.1 500 X\r\nContent-Length: 10\r\n\r\nan error\n\n")
+		}, 200, eventText(4, 5), 2},
+		"no answer":            {func(c net.Conn, r *http.Request) { io.WriteString(c, "an error\n\n") }, 200, eventText(4, 5), 2},
+		"comments, then cut":   {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "id: 3\n: a\n\n", false) }, 200, "id: 3\n: a\n\n" + eventText(4, 5), 2},
+		"mark, goes on":        {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, "\ufeff"+eventText(4, 5), true) }, 200, "\ufeff" + eventText(4, 5), 1},
 		"broken after a piece": {func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(4, 4), false) }, 200, eventText(4, 5), 2},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -385,6 +399,27 @@
 			writeStream(c, r, streamType, eventText(4, 4), false)
 			time.Sleep(time.Second)
 		}},
+		"deadline, the head comes late": {change: func(r *wire.ForwardRoute) { r.TimeoutMs = 300 }, second: func(c net.Conn, r *http.Request) {
+			time.Sleep(400 * time.Millisecond)
+			writeStream(c, r, streamType, eventText(4, 5), true)
+		}},
+		"deadline, an error comes late": {change: func(r *wire.ForwardRoute) { r.TimeoutMs = 300 }, second: func(c net.Conn, r *http.Request) {
+			time.Sleep(400 * time.Millisecond)
+			writeResponse(c, r, 500, "", "an error\n\n")
+		}},
+		"deadline, an error comes slowly": {change: func(r *wire.ForwardRoute) { r.TimeoutMs = 300 }, second: func(c net.Conn, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 404 X\r\nCall: c1\r\nSigned: yes\r\nContent-Length: 10\r\n\r\nan e")
+			time.Sleep(400 * time.Millisecond)
+			fmt.Fprint(c, "rror\n\n")
+		}},
+		"call quarantined": {between: func(f *fixture) {
+			c := &forwardedCall{r: &http.Request{Method: http.MethodPost, Host: "one.example", URL: &url.URL{Path: "/p/x"}}, account: &wire.Account{Name: "indus"}, body: []byte("body")}
+			key := c.quarantineKey()
+			f.appendEvent(&wire.ViewEvent{Body: &wire.ViewEvent_Quarantine{Quarantine: &wire.QuarantineEntry{Account: key.Account, Fingerprint: []byte(key.Fingerprint), Crashes: 3}}})
+			for end := time.Now().Add(5 * time.Second); f.f.crashes.reporter.Empty() && time.Now().Before(end); {
+				time.Sleep(time.Millisecond)
+			}
+		}, second: func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, eventText(4, 5), true) }},
 		"no further attempts": {change: func(r *wire.ForwardRoute) { r.Attempts = 1 }},
 		"not to be resumed":   {change: func(r *wire.ForwardRoute) { r.Resumable = false }},
 		"not to be repeated":  {change: setAtMostOnce},
@@ -458,3 +493,90 @@
 		is.Equal(w.Body.Len(), 0)
 	}
 }
+
+// Guards against a stream that the router takes from a stalled server, or that the planned stop ends, and into
+// which the error of the next server comes in that moment, or which then looks complete.
+func TestErrorsAfterStreamsThatTheRouterEnds(t *testing.T) {
+	for _, attempts := range []uint32{2, 3} { // the third one goes on with the stream
+		t.Run(fmt.Sprint("stalled, attempts ", attempts), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var made atomic.Int32
+			script := func(c net.Conn, r *http.Request) {
+				switch made.Add(1) {
+				case 1:
+					writeStream(c, r, streamType, eventText(1, 3)+"id: 4\nda", false)
+					hang(c)
+				case 2:
+					writeResponse(c, r, 500, streamType, eventText(4, 5))
+				default:
+					writeStream(c, r, streamType, eventText(4, 5), true)
+				}
+			}
+			route := forwardRoute(func(r *wire.ForwardRoute) { setResumableStream(r); r.Attempts, r.TimeoutMs = attempts, 8000 })
+			f := newFixture(t, route, startBackend(t, script), startBackend(t, script), startBackend(t, script))
+			f.f.silence.pauses.of("r").recordPauses(time.Now(), 20*time.Millisecond, minPauses)
+			_, body, complete := splitResponse(f.callRaw())
+			is.Equal(made.Load(), int32(attempts))
+			is.Equal(complete, attempts == 3)
+			is.Equal(body, eventText(1, map[bool]int{true: 5, false: 3}[complete]))
+		})
+	}
+	for name, second := range map[string]backendScript{
+		"nothing": func(c net.Conn, _ *http.Request) { hang(c) },
+		"error in part": func(c net.Conn, r *http.Request) {
+			fmt.Fprintf(c, "HTTP/1.1 500 X\r\nCall: %s\r\nSigned: yes\r\nContent-Length: 99\r\n\r\nan error\n\n", r.Header.Get("Call"))
+			hang(c)
+		},
+		"errors without end": func(c net.Conn, r *http.Request) { writeResponse(c, r, 500, "", "an error\n\n") },
+		"events": func(c net.Conn, r *http.Request) {
+			writeStream(c, r, streamType, eventText(4, 4)+"id: 5\nda", false)
+			hang(c)
+		},
+	} {
+		for _, version := range []string{"1.0", "1.1"} {
+			t.Run(fmt.Sprint("planned stop, ", name, ", HTTP/", version), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				var made atomic.Int32
+				script := func(c net.Conn, r *http.Request) {
+					if made.Add(1) == 1 {
+						writeStream(c, r, streamType, eventText(1, 3), false)
+						time.Sleep(300 * time.Millisecond) // the stop is about to end
+						return
+					}
+					second(c, r)
+				}
+				route := forwardRoute(func(r *wire.ForwardRoute) { setResumableStream(r); r.TimeoutMs = 8000 })
+				f := newFixture(t, route, startBackend(t, script), startBackend(t, script))
+				ln, err := net.Listen("tcp", "127.0.0.1:0")
+				is.NoErr(err)
+				server := daemon.NewHTTPServer(&http.Server{Handler: f.f}, ln)
+				go func() { _ = server.Serve() }()
+				c, err := net.Dial("tcp", ln.Addr().String())
+				is.NoErr(err)
+				defer c.Close()
+				is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+				fmt.Fprintf(c, "POST /p/x HTTP/%s\r\nHost: one.example\r\nCall: c1\r\nKey: k\r\nContent-Length: 4\r\n\r\nbody", version)
+				var got bytes.Buffer
+				_, err = io.CopyN(&got, c, 1) // the response has begun
+				is.NoErr(err)
+				now := time.Now()
+				ends := now.Add(350 * time.Millisecond)
+				f.f.BeginShutdown(StopTimes{Began: now, ListenerCloses: now, Ends: ends})
+				ctx, cancel := context.WithDeadline(context.Background(), ends)
+				defer cancel()
+				_ = server.Stop(ctx)
+				_, err = io.Copy(&got, c)
+				_, body, complete := splitResponse(got.String())
+				t.Logf("%q, %v", got.String(), err)
+				if version == "1.0" {
+					is.True(err != nil) // an orderly end would complete the response
+				} else {
+					is.True(!complete)
+				}
+				is.True(strings.HasPrefix(eventText(1, 4), body) && strings.HasPrefix(body, eventText(1, 3)))
+			})
+		}
+	}
+}
