engine: a byte order mark at the beginning of a stream is no part of its first line

What callers would have seen: the first event of an engine's stream that begins with a byte order mark was missing, and the stream looked complete; if the mark stood before the ID, a stream that should go on there was cut. Cause: the mark was a part of the first field's name, which was unknown then. Change: the mark is skipped at the beginning of a response. Anywhere else it stays a part of the line, as for callers. Evidence: TestEventReader ("byte order mark", "byte order mark before the ID") fails before.

--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -27,6 +27,8 @@
 	fieldID   = []byte("id:")
 	fieldData = []byte("data:")
 	endMarker = []byte("[DONE]")
+
+	byteOrderMark = []byte("\ufeff")
 )
 
 // eventReader reads server-sent events with a size limit.
@@ -34,6 +36,8 @@
 	r     *bufio.Reader
 	limit int
 	line  []byte
+	// begun is set once the first line was read.
+	begun bool
 }
 
 func newEventReader(r *bufio.Reader, limit int) *eventReader {
@@ -54,6 +58,9 @@
 			return event{}, err
 		}
 		size += len(line) + 1
+		if !er.begun { // the stream may begin with a byte order mark
+			line, er.begun = bytes.TrimPrefix(line, byteOrderMark), true
+		}
 		switch {
 		case len(line) == 0 && len(ev.data) > 0:
 			ev.data = append(ev.data, '\n')
