--- a/internal/router/brokenstream_test.go
+++ b/internal/router/brokenstream_test.go
@@ -108,6 +108,43 @@
 			fmt.Fprint(w, "data: "+document+"\n\n")
 			end(w)
 		}, 200, ""},
+		"refused": {begin, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(dialect.Refusal, dialect.RefusalOverloaded)
+			respond(503, "text/event-stream", "data: 4\n\n")(w, r)
+		}, 200, ""},
+		"429":             {begin, respond(429, "text/plain", "no\n\n"), 200, ""},
+		"503, no refusal": {begin, respond(503, "text/event-stream", "data: 4\n\ndata: [DONE]\n\n"), 200, ""},
+		"400":             {begin, respond(400, "application/json", document), 200, ""},
+		"goes on, then cut": {begin, func(w http.ResponseWriter, r *http.Request) {
+			events(w, r, 4, 4, true)
+			panic(http.ErrAbortHandler)
+		}, 200, ""},
+		"goes on, cut in an event": {begin, func(w http.ResponseWriter, r *http.Request) {
+			events(w, r, 4, 4, true)
+			fmt.Fprintf(w, "id: %s.%s/5\ndata: 5", r.Header.Get(dialect.RequestID), r.Header.Get(dialect.Attempt))
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		}, 200, ""},
+		"goes on, no end marker": {begin, func(w http.ResponseWriter, r *http.Request) { events(w, r, 4, 4, true) }, 200, ""},
+		"length, cut": {begin, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Length", "1000")
+			events(w, r, 4, 4, true)
+			panic(http.ErrAbortHandler)
+		}, 200, ""},
+		"interim answer, then 500": {begin, func(w http.ResponseWriter, r *http.Request) {
+			w.WriteHeader(http.StatusEarlyHints)
+			respond(500, "text/event-stream", "data: 4\n\ndata: [DONE]\n\n")(w, r)
+		}, 200, ""},
+		"event of another request": {begin, func(w http.ResponseWriter, r *http.Request) {
+			events(w, r, 4, 3, true)
+			fmt.Fprint(w, "id: other.1/4\ndata: 4\n\n")
+			end(w)
+		}, 200, ""},
+		"mark, goes on": {begin, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, "\ufeff")
+			rest(w, r)
+		}, 200, whole + "data: [DONE]\n\n"},
 		"nothing":                  {begin, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, 200, ""},
 		"first answer is JSON":     {respond(200, "application/json", document), nil, 200, document},
 		"first answer is an error": {respond(500, "application/json", document), nil, 500, document},
@@ -137,7 +174,10 @@
 							}
 							test.second(w, r)
 						default:
-							rest(w, r)
+							after := 3
+							fmt.Sscan(r.Header.Get(dialect.LastEventID), &after)
+							events(w, r, after+1, pieces, true)
+							end(w)
 						}
 					})
 				}
