--- a/internal/daemon/http10_test.go
+++ b/internal/daemon/http10_test.go
@@ -1,12 +1,16 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -67,3 +71,47 @@
 		}
 	}
 }
+
+// killAddressFile names, in the environment of the process that TestKilledProcessAndHTTP10 starts, the file into
+// which it writes its address.
+const killAddressFile = "DAEMON_TEST_ADDRESS_FILE"
+
+// Guards against a response to an HTTP/1.0 caller that looks complete when the process is killed.
+func TestKilledProcessAndHTTP10(t *testing.T) {
+	is := is.New(t)
+	if path := os.Getenv(killAddressFile); path != "" {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		is.NoErr(os.WriteFile(path+".new", []byte(ln.Addr().String()), 0o600))
+		is.NoErr(os.Rename(path+".new", path))
+		is.NoErr(NewHTTPServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, "data: x\n\n")
+			_ = http.NewResponseController(w).Flush()
+			<-r.Context().Done()
+		})}, ln).Serve())
+		return
+	}
+	path := filepath.Join(t.TempDir(), "address")
+	process := exec.Command(os.Args[0], "-test.run=^TestKilledProcessAndHTTP10$")
+	process.Env = append(os.Environ(), killAddressFile+"="+path)
+	is.NoErr(process.Start())
+	defer process.Wait()
+	defer process.Process.Kill()
+	var address []byte
+	for end := time.Now().Add(10 * time.Second); len(address) == 0 && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		address, _ = os.ReadFile(path)
+	}
+	c, err := net.Dial("tcp", string(address))
+	is.NoErr(err)
+	defer c.Close()
+	is.NoErr(c.SetDeadline(time.Now().Add(10 * time.Second)))
+	fmt.Fprint(c, "GET / HTTP/1.0\r\nHost: x\r\n\r\n")
+	var data bytes.Buffer
+	for !strings.HasSuffix(data.String(), "data: x\n\n") {
+		_, err := io.CopyN(&data, c, 1)
+		is.NoErr(err)
+	}
+	is.NoErr(process.Process.Kill())
+	_, err = io.Copy(&data, c)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
