forward: test of errors behind streams whose callers read slowly

The buffers to the caller are full when its server breaks off, or the write of an event is given up in its middle.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -580,3 +580,62 @@
 		}
 	}
 }
+
+// Guards against an error, or a part of an event, in the stream of a caller that reads slowly: the buffers to the
+// caller are full when the first server breaks off, or the write of an event is given up in its middle.
+func TestErrorsWhileTheCallerReadsSlowly(t *testing.T) {
+	const pieces = 60
+	data := strings.Repeat("x", 64<<10)
+	events := func(from, to int) string { return strings.ReplaceAll(eventText(from, to), "data: x", "data: "+data) }
+	for name, test := range map[string]struct {
+		// pause is the time before the caller reads.
+		pause  time.Duration
+		second backendScript
+	}{
+		"error":           {300 * time.Millisecond, func(c net.Conn, r *http.Request) { writeResponse(c, r, 500, streamType, events(41, pieces)) }},
+		"refusal":         {300 * time.Millisecond, func(c net.Conn, r *http.Request) { writeResponse(c, r, 503, "Not-Run: 1\r\n", "no\n\n") }},
+		"begins anew":     {300 * time.Millisecond, func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, events(1, 2), true) }},
+		"cut in an event": {300 * time.Millisecond, func(c net.Conn, r *http.Request) { writeStream(c, r, streamType, events(41, 42)[:100<<10], false) }},
+		"write given up":  {eventWriteTimeout + time.Second, func(c net.Conn, r *http.Request) { t.Error("gone on with") }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			var made atomic.Int32
+			script := func(c net.Conn, r *http.Request) {
+				if made.Add(1) == 1 {
+					writeStream(c, r, streamType, events(1, 40), false)
+					return
+				}
+				test.second(c, r)
+			}
+			f := newFixture(t, forwardRoute(func(r *wire.ForwardRoute) { setResumableStream(r); r.TimeoutMs = 20_000 }), startBackend(t, script), startBackend(t, script))
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			server := daemon.NewHTTPServer(&http.Server{Handler: f.f}, smallBufferListener{ln})
+			go func() { _ = server.Serve() }()
+			t.Cleanup(func() { ln.Close() })
+			c, err := net.Dial("tcp", ln.Addr().String())
+			is.NoErr(err)
+			defer c.Close()
+			is.NoErr(c.(*net.TCPConn).SetReadBuffer(64 << 10))
+			is.NoErr(c.SetDeadline(time.Now().Add(20 * time.Second)))
+			fmt.Fprint(c, "POST /p/x HTTP/1.1\r\nHost: one.example\r\nCall: c1\r\nKey: k\r\nContent-Length: 4\r\n\r\nbody")
+			time.Sleep(test.pause)
+			raw, err := io.ReadAll(c)
+			is.NoErr(err)
+			_, body, complete := splitResponse(string(raw))
+			is.True(!complete)
+			is.True(strings.HasPrefix(events(1, pieces), body)) // no other bytes
+			if name == "write given up" {
+				is.Equal(made.Load(), int32(1))
+				return
+			}
+			wantBody := events(1, 40)
+			if name == "cut in an event" {
+				wantBody = events(1, 41)
+			}
+			is.Equal(len(body), len(wantBody))
+		})
+	}
+}
