--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"parsleypulley/internal/event"
@@ -192,11 +193,12 @@
 	c.watched.wait(headAt)
 	attemptLatency.head.Record(headAt, headAt.Sub(now))
 	outcome := classifyResponse(resp)
-	if outcome == 0 && c.route.GetStream() && !isEventStream(resp) {
+	stream := c.route.GetStream() && c.r.Method != http.MethodHead
+	if outcome == 0 && stream && !isEventStream(resp) {
 		outcome = noStreamOutcome(resp, c.headerWritten)
 	}
 	switch {
-	case outcome == 0 && isEventStream(resp) && c.route.GetStream():
+	case outcome == 0 && stream && isEventStream(resp):
 		c.quota.Spend()
 		return c.forwardStream(d, resp)
 	case !c.headerWritten && (outcome == 0 || outcome == Failed):
@@ -280,7 +282,11 @@
 			c.f.selector.finished(d)
 			c.answered(r)
 		}
-		c.writeHeader(r, int64(len(body)))
+		length := int64(len(body))
+		if c.r.Method == http.MethodHead {
+			length = r.length // that of the body which the response to GET would have
+		}
+		c.writeHeader(r, length)
 		if err := c.writeBody(body); err != nil {
 			return nil, Step{Err: fault.New(fault.Cancelled, fault.Ran, "the caller has left: %w", err)}
 		}
@@ -349,6 +355,7 @@
 	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer)}
 	// started is set after the first event with data, and delivered after the first event of any kind.
 	started, delivered := false, false
+	marked := events.skipMark()
 	c.position.beginAttempt(c.headerWritten)
 	var gaps routing.GapSampler
 	defer func() { c.f.selector.eventGap(d, gaps.End()) }()
@@ -374,6 +381,7 @@
 				return &failure{InvalidResponse, fmt.Errorf("%w: %.40q after %.40q", err, id, c.position.lastID)}, Step{}
 			}
 		}
+		out := event
 		now := time.Now()
 		if progress {
 			c.watched.eventArrived(now)
@@ -394,8 +402,11 @@
 			}
 			c.bindStarted(d)
 			c.writeHeader(r, -1)
+			if marked { // callers read it only at the beginning of their stream
+				out = slices.Concat(byteOrderMark, event)
+			}
 		}
-		if err := c.writeBody(event); err != nil {
+		if err := c.writeBody(out); err != nil {
 			r.close(false)
 			c.f.selector.failed(d, fault.Cancelled)
 			return nil, Step{Err: fault.New(fault.Cancelled, fault.Ran, "the caller has left: %w", err)}
