--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -242,7 +242,9 @@
 
 // check checks whether the machine of a backend server answers, and ends all attempts there if it
 // does not. silent is the attempt that has asked for the check since it was silent from a time on;
-// it may be nil. check returns when the check began, which may have been run for another attempt.
+// it may be nil. Then the result is used only if nothing has arrived from there for silenceBeforeCheck
+// either, since the pauses of a sound stream may be longer than a check. check returns when the check
+// began, which may have been run for another attempt.
 func (g *silenceGuard) check(b *wire.Backend, silent *watchedAttempt, silentSince time.Time) time.Time {
 	finding := g.monitor.Check(context.Background(), b.GetAddress(), func() string { return g.witness(b.GetAddress()) })
 	if finding.Result == reach.Unreachable || finding.Result == reach.NoneReachable {
@@ -280,11 +282,14 @@
 // received a part of the response go on, and the leader is not told. The other callers may come back at
 // a router with a better network.
 func (g *silenceGuard) unreachable(b *wire.Backend, finding reach.Finding, silent *watchedAttempt, silentSince time.Time) {
-	address := b.GetAddress()
+	address, since := b.GetAddress(), finding.Began
+	if earliest := time.Now().Add(-silenceBeforeCheck); silent == nil && earliest.Before(since) {
+		since = earliest
+	}
 	g.mu.Lock()
 	attempts := g.attempts[address]
 	for a := range attempts {
-		if a.heardSince(finding.Began) || a == silent && a.heardSince(silentSince) {
+		if a.heardSince(since) || a == silent && a.heardSince(silentSince) {
 			g.mu.Unlock()
 			silence.Add("contradicted", 1)
 			return
