forward: witnesses are other machines, and a late stall leaves time for another attempt

Found by the review of the trace: a server on the machine that is checked could be the witness of its own machine; a stalled attempt that was kept could be ended with too little time left for another one.

--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -253,14 +254,15 @@
 	return finding.Began
 }
 
-// witness returns the address of the backend server other than the one at the given address from
-// which a byte has arrived last, or "" if none has within silenceBeforeCheck.
+// witness returns the address of the backend server on another machine than the one at the given address
+// from which a byte has arrived last, or "" if none has within silenceBeforeCheck.
 func (g *silenceGuard) witness(checked string) (address string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	heard := time.Now().Add(-silenceBeforeCheck)
+	host := hostOf(checked)
 	for other, attempts := range g.attempts {
-		if other == checked {
+		if hostOf(other) == host {
 			continue
 		}
 		for a := range attempts {
@@ -272,6 +274,11 @@
 	return address
 }
 
+// hostOf returns the host of an address with a port.
+func hostOf(address string) string {
+	return address[:max(0, strings.LastIndexByte(address, ':'))]
+}
+
 // unreachable ends all attempts at the address of a backend server that a check, begun at a given
 // time, could not reach. A result that is contradicted by something that arrived from there since
 // is not used: the machine may have dropped the connections of the check as too many were being
--- a/internal/forward/watch.go
+++ b/internal/forward/watch.go
@@ -187,6 +187,8 @@
 	bound, ok := w.stallBound(usual)
 	if at = w.waitingSince.Add(bound); at.Before(w.keepUntil) {
 		at = w.keepUntil
+		// Later than at the bound, the time left may be too short for another attempt.
+		ok = ok && w.deadline.Sub(at) >= max(usual.first, minStall)
 	}
 	return at, ok
 }
