forward: a begun response that nobody else can go on with ends only if the leader suspects its server

What callers saw: a stream of a sound server that can't be resumed was cut 0.7 s after its last event while the queue of the server's listener was full: the kernel drops the connections of a check then, as a machine that is gone does. Cause: one router's check decided alone, also where to end the attempt could only lose the answer. Change: such a response goes on until the leader suspects the server too. The router tells the leader at once, which checks it, and a suspicion leads to another check here; until then checks go on. In TestSilentServers the leader now suspects a server that is reported, as a real one does; its bounds (1.4 s) are unchanged.

--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -4,8 +4,6 @@
 	"context"
 	"errors"
 	"expvar"
-	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -287,7 +285,9 @@
 //
 // If the router could not reach any server, the server may be sound: attempts whose callers have
 // received a part of the response go on, and the leader is not told. The other callers may come back at
-// a router with a better network.
+// a router with a better network. A sound server whose listener's queue is full does not answer a check
+// either: a response that has begun and that nobody else can go on with ends only if the leader suspects
+// the server too.
 func (g *silenceGuard) unreachable(b *wire.Backend, finding reach.Finding, silent *watchedAttempt, silentSince time.Time) {
 	address, since := b.GetAddress(), finding.Began
 	if earliest := time.Now().Add(-silenceBeforeCheck); silent == nil && earliest.Before(since) {
@@ -302,25 +302,28 @@
 			return
 		}
 	}
-	ending := slices.Collect(maps.Keys(attempts))
-	if finding.Result == reach.Unreachable {
-		delete(g.attempts, address)
+	confirmed := finding.Result == reach.Unreachable && g.suspected[b.GetName()]
+	lost := &lostServer{}
+	var ending []*watchedAttempt
+	for a := range attempts {
+		a.mu.Lock()
+		kept := a.delivered && !confirmed && (finding.Result == reach.NoneReachable || !a.watch.mayEnd)
+		if !a.ended && !kept {
+			a.ended, a.lost = true, lost
+			ending = append(ending, a)
+		}
+		if a.ended {
+			delete(attempts, a)
+		}
+		a.mu.Unlock()
 	}
 	g.mu.Unlock()
 	if finding.Result == reach.Unreachable {
 		g.connPool.closeIdle(address)
 	}
-	lost := &lostServer{}
 	for _, a := range ending {
-		a.mu.Lock()
-		kept := a.ended || a.delivered && finding.Result == reach.NoneReachable
-		a.ended = a.ended || !kept
-		a.mu.Unlock()
-		if !kept {
-			silence.Add("attempts_ended", 1)
-			a.lost = lost
-			a.cancel(errUnreachable)
-		}
+		silence.Add("attempts_ended", 1)
+		a.cancel(errUnreachable)
 	}
 	if finding.Result == reach.Unreachable {
 		g.report(b, len(ending))
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -66,12 +67,17 @@
 type fakeUnreachables struct {
 	mu    sync.Mutex
 	names []string
+	// reportedOnce is called after the first report; it may be nil.
+	reportedOnce func(server *wire.UnreachableServer)
 }
 
 func (f *fakeUnreachables) ReportUnreachable(_ context.Context, server *wire.UnreachableServer) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.names = append(f.names, server.GetBackend())
+	if len(f.names) == 1 && f.reportedOnce != nil {
+		f.reportedOnce(server)
+	}
 	return nil
 }
 
@@ -194,6 +200,12 @@
 			if test.prepare != nil {
 				test.prepare(r.f)
 			}
+			unreachables.mu.Lock()
+			unreachables.reportedOnce = func(server *wire.UnreachableServer) { // the leader can't reach it either
+				i, _ := strconv.Atoi(strings.TrimPrefix(server.GetBackend(), "b"))
+				r.setBackend(i, r.log.Snapshot().Member(server.GetBackend()).GetBackend().GetAddress(), wire.BackendState_BACKEND_STATE_SUSPECTED)
+			}
+			unreachables.mu.Unlock()
 			began := time.Now()
 			status, body, _, err := r.call()
 			took := time.Since(began)
