--- a/internal/keptconn/keptconn.go
+++ b/internal/keptconn/keptconn.go
@@ -34,9 +34,10 @@
 	settle      time.Duration
 }
 
-// New returns a client whose connections are those of t, which must not be used otherwise and must keep
-// connections. It returns redirects instead of following them. The limits of t on idle connections are replaced: a connection that is closed as
-// there are too many would look like one with more bytes. IdleConnTimeout bounds them.
+// New returns a client that uses the connections of t, which must keep connections and must not be used
+// otherwise. It returns redirects instead of following them. The client replaces the limits of t on the
+// number of idle connections, because a connection closed for such a limit would look like one on which
+// more bytes have arrived. IdleConnTimeout still bounds them.
 func New(t *http.Transport, settle time.Duration) *Client {
 	dial := t.DialContext
 	if dial == nil {
