--- a/review/kit/peers.go
+++ b/review/kit/peers.go
@@ -133,6 +133,8 @@
 	Models []map[string]any
 	// Handle answers a request that names this instance. It may be nil.
 	Handle func(w http.ResponseWriter, r *http.Request, body string)
+	// Own answers reports and orders to an engine; nil stands for an engine that reports no load.
+	Own func(w http.ResponseWriter, r *http.Request, body string)
 
 	system *System
 	server *http.Server
@@ -146,23 +148,35 @@
 
 var nextBackend atomic.Int32
 
-// StartBackend starts a backend server that sends heartbeats to the VMs in turn.
-func (s *System) StartBackend(service, zone string, handle func(w http.ResponseWriter, r *http.Request, body string)) *Backend {
+// NewBackend returns a backend server that does not run yet.
+func (s *System) NewBackend(service, zone string) *Backend {
 	n := nextBackend.Add(1)
-	b := &Backend{ID: fmt.Sprintf("i-%08x", 0x7f3a9100+n), Service: service, Zone: zone, Addr: fmt.Sprint(s.subnet, 100+n, ":8080"), Born: time.Now().UnixMilli(),
-		Handle: handle, system: s, state: "ready"}
+	return &Backend{ID: fmt.Sprintf("i-%08x", 0x7f3a9100+n), Service: service, Zone: zone, Addr: fmt.Sprint(s.subnet, 100+n, ":8080"), Born: time.Now().UnixMilli(), system: s, state: "ready"}
+}
+
+// Start starts the backend server, which sends heartbeats to the VMs in turn.
+func (b *Backend) Start() {
 	b.listen()
 	go b.beat()
-	return b
 }
 
-// StartEngine starts a backend server that serves a model.
+// SetModels changes what an engine says of its models.
+func (b *Backend) SetModels(models []map[string]any) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.Models = models
+}
+
+// StartBackend starts a backend server that handle answers for.
+func (s *System) StartBackend(service, zone string, handle func(w http.ResponseWriter, r *http.Request, body string)) *Backend {
+	return s.StartEngine(service, zone, nil, handle)
+}
+
+// StartEngine starts a backend server that serves models.
 func (s *System) StartEngine(service, zone string, models []map[string]any, handle func(w http.ResponseWriter, r *http.Request, body string)) *Backend {
-	n := nextBackend.Add(1)
-	b := &Backend{ID: fmt.Sprintf("i-%08x", 0x7f3a9100+n), Service: service, Zone: zone, Addr: fmt.Sprint(s.subnet, 100+n, ":8080"), Born: time.Now().UnixMilli(),
-		Handle: handle, system: s, state: "ready", Models: models}
-	b.listen()
-	go b.beat()
+	b := s.NewBackend(service, zone)
+	b.Models, b.Handle = models, handle
+	b.Start()
 	return b
 }
 
@@ -260,7 +274,7 @@
 		return
 	}
 	if strings.HasPrefix(r.URL.Path, "/parsleypulley/") {
-		b.serveOwn(w, r)
+		b.serveOwn(w, r, string(data))
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
@@ -273,7 +287,7 @@
 	b.mu.Lock()
 	b.arrivals = append(b.arrivals, Arrival{time.Now(), id, r.URL.Path, r.Header.Clone(), string(data)})
 	b.mu.Unlock()
-	b.system.Log("%s runs %s", b.ID, id)
+	b.system.Log("%s reaches %s", id, b.ID)
 	w.Header().Set("X-Server-Stamp", b.ID+"."+id)
 	if b.Handle != nil {
 		b.Handle(w, r, string(data))
@@ -283,19 +297,24 @@
 }
 
 // serveOwn answers the calls of the leader to an engine.
-func (b *Backend) serveOwn(w http.ResponseWriter, r *http.Request) {
-	if b.Models == nil {
+func (b *Backend) serveOwn(w http.ResponseWriter, r *http.Request, body string) {
+	b.mu.Lock()
+	models := b.Models
+	b.mu.Unlock()
+	if models == nil {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	switch r.URL.Path {
-	case "/parsleypulley/report":
-		_ = json.NewEncoder(w).Encode(map[string]any{"Stage": "colocated", "Models": b.Models, "Busy": false, "Seq": 0, "Queued": 0, "Running": 0, "KvUsed": 0, "KvTotal": 100000, "Handles": 0})
-	case "/parsleypulley/kv-events":
+	switch own := r.URL.Path == "/parsleypulley/report" || r.URL.Path == "/parsleypulley/order"; {
+	case own && b.Own != nil:
+		b.Own(w, r, body)
+	case r.URL.Path == "/parsleypulley/report":
+		_ = json.NewEncoder(w).Encode(map[string]any{"Stage": "colocated", "Models": models, "Busy": false, "Seq": 0, "Queued": 0, "Running": 0, "KvUsed": 0, "KvTotal": 100000, "Handles": 0})
+	case r.URL.Path == "/parsleypulley/kv-events":
 		time.Sleep(500 * time.Millisecond)
 		_, _ = io.WriteString(w, `{"BootEpoch":1,"Next":0,"Lost":false,"Events":[]}`)
-	case "/parsleypulley/kv-list":
+	case r.URL.Path == "/parsleypulley/kv-list":
 		_, _ = io.WriteString(w, `{"BootEpoch":1,"Next":0,"Held":[]}`)
 	default:
 		w.WriteHeader(http.StatusNotFound)
