review: case 5, a deadly request is not quarantined beside many calls of its account

Cause: the quarantine keeps 64 suspected entries an account, and drops those with the lowest fingerprint first. Change: a script with three backend servers that crash under one request while 100 other calls are at each.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# TROUBLE=0 runs the case without the disruption.
+set -u
+cd "$(dirname "$0")/../.."
+export PARSLEYPULLEY_VM=$PWD/target/parsleypulley-vm TROUBLE="${TROUBLE:-1}"
+[ -x target/review/deadly-request ] || exit 2
+exec target/review/deadly-request "$PWD/review/5"
--- a/review/kit/peers.go
+++ b/review/kit/peers.go
@@ -196,6 +196,12 @@
 	b.system.Log("backend server %s ends", b.ID)
 }
 
+// Crash ends the backend server at once, without a word.
+func (b *Backend) Crash() {
+	b.Silence()
+	_ = b.server.Close()
+}
+
 // Silence ends the heartbeats.
 func (b *Backend) Silence() {
 	b.mu.Lock()
