--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,5 +3,5 @@
 set -u
 cd "$(dirname "$0")/../.."
 export PARSLEYPULLEY_VM=$PWD/target/parsleypulley-vm TROUBLE="${TROUBLE:-1}"
-[ -x target/review/deadly-request ] || exit 2
-exec target/review/deadly-request "$PWD/review/5"
+[ -x target/review/isolation ] || exit 2
+exec target/review/isolation "$PWD/review/5"
--- a/review/cmd/deadly-request/main.go
+++ b/review/cmd/deadly-request/main.go
@@ -100,11 +100,14 @@
 		fmt.Sscan(os.Getenv("BESIDE"), &others)
 	}
 	header := map[string]string{"Authorization": "Bearer key-of-sese880"}
-	var number atomic.Int64
+	var number, lost atomic.Int64
 	for i := range others {
 		go func() {
 			for {
-				s.Request(s.VMs[i%len(s.VMs)], http.MethodPost, "/fiti832/book", fmt.Sprint("booking ", number.Add(1)), header)
+				a := s.Request(s.VMs[i%len(s.VMs)], http.MethodPost, "/fiti832/book", fmt.Sprint("booking ", number.Add(1)), header)
+				if a.Status == http.StatusBadGateway {
+					lost.Add(1) // it may have run, and its caller doesn't know
+				}
 				time.Sleep(5 * time.Millisecond)
 			}
 		}()
@@ -131,7 +134,7 @@
 		}
 	}
 	if late > limit {
-		s.Finish(1, "the request crashed %d backend servers, and reached them %d times later than %v after it had crashed the third", len(crashes), late, kit.Contact)
+		s.Finish(1, "the request crashed %d backend servers, and reached them %d times later than %v after it had crashed the third; %d other calls ended with 502", len(crashes), late, kit.Contact, lost.Load())
 	}
 	s.Finish(0, "the request crashed %d backend servers, and reached them %d times later than %v after it had crashed the third", len(crashes), late, kit.Contact)
 }
--- a/review/kit/peers.go
+++ b/review/kit/peers.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -135,9 +136,12 @@
 	Handle func(w http.ResponseWriter, r *http.Request, body string)
 	// Own answers reports and orders to an engine; nil stands for an engine that reports no load.
 	Own func(w http.ResponseWriter, r *http.Request, body string)
+	// Backlog is the length of the queue of new connections; 0 stands for that of the machine.
+	Backlog int
 
-	system *System
-	server *http.Server
+	listener *pausedListener
+	system   *System
+	server   *http.Server
 
 	mu       sync.Mutex
 	seq      int
@@ -185,8 +189,58 @@
 	if err != nil {
 		Unable("%v", err)
 	}
+	if b.Backlog > 0 {
+		setBacklog(ln, b.Backlog)
+	}
+	b.listener = &pausedListener{Listener: ln}
 	b.server = &http.Server{Handler: http.HandlerFunc(b.serve)}
-	go func() { _ = b.server.Serve(ln) }()
+	go func() { _ = b.server.Serve(b.listener) }()
+}
+
+// pausedListener accepts nothing while it is paused.
+type pausedListener struct {
+	net.Listener
+	paused sync.RWMutex
+}
+
+// Accept implements net.Listener.
+func (l *pausedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	l.paused.RLock() // waits while it is paused
+	defer l.paused.RUnlock()
+	return conn, err
+}
+
+// setBacklog sets the length of the queue of a listener.
+func setBacklog(ln net.Listener, backlog int) {
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	if err != nil {
+		Unable("%v", err)
+	}
+	_ = raw.Control(func(fd uintptr) { err = syscall.Listen(int(fd), backlog) })
+	if err != nil {
+		Unable("%v", err)
+	}
+}
+
+// FillQueue accepts no connections until ctx ends, and fills the queue of new ones.
+func (b *Backend) FillQueue(ctx context.Context) {
+	b.listener.paused.Lock()
+	defer b.listener.paused.Unlock()
+	var conns []net.Conn
+	defer func() {
+		for _, conn := range conns {
+			_ = conn.Close()
+		}
+	}()
+	for range b.Backlog + 2 {
+		conn, err := net.DialTimeout("tcp", b.Addr, 50*time.Millisecond)
+		if err != nil {
+			break
+		}
+		conns = append(conns, conn)
+	}
+	<-ctx.Done()
 }
 
 // Stop ends the backend server.
@@ -360,3 +414,40 @@
 	s.Log("the answer to %s: %d", a.ID, status)
 	return a
 }
+
+// StreamAnswer is what a caller got of a stream.
+type StreamAnswer struct {
+	ID     string
+	Sent   time.Time
+	Events int
+}
+
+// Stream sends a caller's request to the router of a VM, and read reads the answer as it comes.
+func (s *System) Stream(vm *VM, path string, header map[string]string, read func(id string, body io.Reader, counts map[string]int)) StreamAnswer {
+	a := StreamAnswer{ID: fmt.Sprintf("%016x", 0x1c41d07be2000000+nextRequest.Add(1)), Sent: time.Now()}
+	req, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", vm.IP, frontPort, path), strings.NewReader("question"))
+	if err != nil {
+		Unable("%v", err)
+	}
+	req.Host = "jepu9.example"
+	req.Header.Set("X-Request-Id", a.ID)
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
+	transport := &http.Transport{DisableKeepAlives: true}
+	defer transport.CloseIdleConnections()
+	s.Log("a caller sends %s to %s", a.ID, vm.Name)
+	resp, err := (&http.Client{Transport: transport, Timeout: 20 * time.Second}).Do(req)
+	if err != nil {
+		s.Log("no answer to %s: %v", a.ID, err)
+		return a
+	}
+	defer resp.Body.Close()
+	counts := map[string]int{}
+	if resp.StatusCode == http.StatusOK {
+		read(a.ID, resp.Body, counts)
+	}
+	a.Events = counts["events"]
+	s.Log("the answer to %s: %d, %d events", a.ID, resp.StatusCode, a.Events)
+	return a
+}
