event, forward, consensus: logs and metrics that tell the causes of lost work apart

For an unreachable backend server the router's log says how many of the attempts it ended had begun to answer, and forward_silence counts the begun responses that such a finding ended and left. The leader logs the first command of each replica set that it reports as committed while fewer replicas vote than the declared losses need. Before, neither could be seen; no logic changes.

--- a/internal/consensus/apply.go
+++ b/internal/consensus/apply.go
@@ -67,9 +67,20 @@
 		return
 	}
 	delete(n.waiters, e.Index)
+	n.logCommittedBelowDeclared(e.Index)
 	p.reply <- proposalResult{value: result}
 }
 
+// logCommittedBelowDeclared logs the first command of each replica set whose proposer is told that it
+// is committed while the loss of as many disks as declared could undo it.
+func (n *Node) logCommittedBelowDeclared(index uint64) {
+	voters, set := len(n.replica.set.voters()), n.replica.set.index()
+	if needed := n.replica.minVoters(); voters < needed && n.loggedBelowDeclared != set {
+		n.loggedBelowDeclared = set
+		event.CommittedBelowDeclared(n.self(), index, voters, needed)
+	}
+}
+
 func (n *Node) restore(s *storage.Snapshot) {
 	if err := n.config.Machine.Restore(s.Data); err != nil {
 		n.fail(fmt.Errorf("restore snapshot at %d: %w", s.ID.Index, err))
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -155,6 +155,9 @@
 	// belowDeclared is set while this replica leads and fewer losses can be borne
 	// than declared.
 	belowDeclared bool
+	// loggedBelowDeclared is the index of the replica set for which logCommittedBelowDeclared has
+	// logged last.
+	loggedBelowDeclared uint64
 }
 
 type proposal struct {
--- a/internal/event/call.go
+++ b/internal/event/call.go
@@ -170,10 +170,10 @@
 	log.WithFields(fields).Warn(messageAttemptFailed)
 }
 
-// BackendUnreachable logs that the machine of a backend server does not answer, and how many
-// attempts ended for that.
-func BackendUnreachable(backend, address string, attempts int) {
-	log.WithFields(log.Fields{"backend": backend, "address": address, "attempts": attempts}).Warn("backend server is unreachable")
+// BackendUnreachable logs that the machine of a backend server does not answer, how many attempts
+// ended for that, and how many of these after their response had begun.
+func BackendUnreachable(backend, address string, attempts, begun int) {
+	log.WithFields(log.Fields{"backend": backend, "address": address, "attempts": attempts, "begun": begun}).Warn("backend server is unreachable")
 }
 
 // UnreachableReportFailed logs that the leader could not be told of an unreachable backend
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -48,6 +48,12 @@
 	log.WithFields(r.fields()).WithFields(log.Fields{"bearable": bearable, "declared": declared}).Info("the declared losses can be borne")
 }
 
+// CommittedBelowDeclared logs that the leader reported a command as committed while the replica set had
+// fewer voters than the declared losses need.
+func CommittedBelowDeclared(r Replica, index uint64, voters, needed int) {
+	log.WithFields(r.fields()).WithFields(log.Fields{"index": index, "voters": voters, "needed": needed}).Warn("committed with fewer voters than the declared losses need")
+}
+
 // ReplicaFailed logs the error that stopped a replica.
 func ReplicaFailed(r Replica, err error) {
 	log.WithFields(withError(r.fields(), err)).Error("replica failed")
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -28,7 +28,9 @@
 // silence counts checks of backend servers by result, attempts that ended as their backend
 // server was unreachable ("attempts_ended"), streams ended as stalled ("stalled"), how often one was
 // not ended as its call could not go on elsewhere ("stalled_kept"), and results that were not used
-// since something arrived from the backend server meanwhile ("contradicted").
+// since something arrived from the backend server meanwhile ("contradicted"). Of the attempts whose
+// callers had received a part of the response it counts those that an unreachable backend server ended
+// ("begun_ended") and those that went on ("begun_kept").
 var silence = expvar.NewMap("forward_silence")
 
 var (
@@ -305,12 +307,20 @@
 	confirmed := finding.Result == reach.Unreachable && g.suspected[b.GetName()]
 	lost := &lostServer{}
 	var ending []*watchedAttempt
+	begun := 0
 	for a := range attempts {
 		a.mu.Lock()
 		kept := a.delivered && !confirmed && (finding.Result == reach.NoneReachable || !a.watch.mayEnd)
-		if !a.ended && !kept {
+		switch {
+		case a.ended:
+		case kept:
+			silence.Add("begun_kept", 1)
+		default:
 			a.ended, a.lost = true, lost
 			ending = append(ending, a)
+			if a.delivered {
+				begun++
+			}
 		}
 		if a.ended {
 			delete(attempts, a)
@@ -321,18 +331,19 @@
 	if finding.Result == reach.Unreachable {
 		g.connPool.closeIdle(address)
 	}
+	silence.Add("begun_ended", int64(begun))
 	for _, a := range ending {
 		silence.Add("attempts_ended", 1)
 		a.cancel(errUnreachable)
 	}
 	if finding.Result == reach.Unreachable {
-		g.report(b, len(ending))
+		g.report(b, len(ending), begun)
 	}
 }
 
-// report logs that a backend server can't be reached, for which a number of attempts ended, and
-// tells the leader, at most once within reportInterval.
-func (g *silenceGuard) report(b *wire.Backend, attempts int) {
+// report logs that a backend server can't be reached, for which a number of attempts ended, some of
+// them after their response had begun, and tells the leader, at most once within reportInterval.
+func (g *silenceGuard) report(b *wire.Backend, attempts, begun int) {
 	now := time.Now()
 	g.mu.Lock()
 	due := now.Sub(g.reportedAt[b.GetName()]) >= reportInterval
@@ -341,7 +352,7 @@
 	}
 	g.mu.Unlock()
 	if due || attempts > 0 {
-		event.BackendUnreachable(b.GetName(), b.GetAddress(), attempts)
+		event.BackendUnreachable(b.GetName(), b.GetAddress(), attempts, begun)
 	}
 	if !due || g.reporter == nil {
 		return
