forward: limit the memory of the parts of all responses that are kept

What callers saw: servers that begin answers and then send a byte now and then make the router keep each beginning within its own limit (64 KiB of a head, 256 KiB of a body or of an event), for as many calls as there are and until their time limits. A head of 60 KiB in lines of 4 bytes takes about a megabyte. The router exceeded the memory of the users' machines, and calls of others beside failed.

Cause: all limits were per response; nothing bounded their sum.

Fix: parts of responses take their memory from one budget of the router, a quarter of the Go runtime's memory limit, beyond a small free part each. Without memory a body is forwarded as it arrives, a head or an event ends its attempt, and a refusal whose record is not whole promises nothing. A head has at most 256 lines besides the ones that arrive with its end. The copy buffer of long bodies is 8 KiB, and the memory of a long event is not kept for the rest of its stream. expvar forward_response_memory_full counts what was not kept.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -189,6 +189,7 @@
 	if fail != nil {
 		return fail, Step{}
 	}
+	defer resp.release()
 	headAt := time.Now()
 	c.watched.wait(headAt)
 	attemptLatency.head.Record(headAt, headAt.Sub(now))
@@ -262,7 +263,9 @@
 			return nil, step
 		}
 	}
-	body, more, err := r.bufferBody()
+	hold := c.f.connPool.memory.hold(freePartMemory)
+	defer hold.release()
+	body, more, err := r.bufferBody(hold)
 	if err != nil && outcome == Failed {
 		r.close(false)
 		c.f.selector.failed(d, c.failureKind(InvalidResponse))
@@ -299,8 +302,10 @@
 	c.writeHeader(r, r.length)
 	c.allowEndOfStalled() // the caller has received a part
 	c.writeBody(body)
+	body = nil
+	hold.release()
 	rest := &errorRecorder{Reader: r.body}
-	_, err = io.Copy(c.w, rest)
+	_, err = io.CopyBuffer(writerOnly{c.w}, rest, make([]byte, copyBuffer))
 	r.close(err == nil)
 	switch {
 	case rest.err != nil && c.r.Context().Err() != nil:
@@ -326,6 +331,13 @@
 	return nil, Step{}
 }
 
+// copyBuffer is the size in bytes of the buffer of each call that forwards a long body. The one of net/http
+// is four times as large, and many callers may read slowly at once.
+const copyBuffer = 8 << 10
+
+// writerOnly hides the io.ReaderFrom of net/http, which brings its own buffer.
+type writerOnly struct{ io.Writer }
+
 // answered records a complete response. Parts of a prompt that end backend servers are never
 // answered.
 func (c *forwardedCall) answered(r *response) {
@@ -352,7 +364,8 @@
 // forwardStream forwards the events of a streaming response as they arrive. The
 // result is as for runAttempt.
 func (c *forwardedCall) forwardStream(d *routing.Decision, r *response) (*failure, Step) {
-	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer)}
+	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer), hold: *c.f.connPool.memory.hold(freePartMemory)}
+	defer events.hold.release()
 	// started is set after the first event with data, and delivered after the first event of any kind.
 	started, delivered := false, false
 	marked := events.skipMark()
--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"expvar"
@@ -68,8 +67,10 @@
 	// since a copy may come after sentMemory. One new connection in a thousand calls costs little.
 	maxCallsPerConn = 1024
 	// maxHeadBytes limits the head of a response, with the interim responses before it,
-	// and maxInterimResponses their number.
+	// maxHeadLines its lines, as far as they do not arrive together with its end, and maxInterimResponses
+	// the number of the interim responses.
 	maxHeadBytes        = 64 << 10
+	maxHeadLines        = 256
 	maxInterimResponses = 5
 	// A body that nobody gets is read, so that its connection can be reused, as long as it
 	// ends within maxDiscardedBytes and discardTimeout. For the body of another call's
@@ -87,6 +88,8 @@
 type connPool struct {
 	dialer net.Dialer
 	sent   *sentCalls
+	// memory limits the parts of responses that are kept.
+	memory *memoryBudget
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the last used one last.
@@ -94,7 +97,7 @@
 }
 
 func newConnPool() *connPool {
-	return &connPool{dialer: newDialer(), sent: newSentCalls(), idle: map[string][]*conn{}}
+	return &connPool{dialer: newDialer(), sent: newSentCalls(), memory: newMemoryBudget(), idle: map[string][]*conn{}}
 }
 
 // newDialer returns a dialer whose connections end soon after the peer becomes
@@ -140,7 +143,8 @@
 	address string
 	r       *bufio.Reader
 	// head limits what is read for the head of a response.
-	head *headLimiter
+	head   *headLimiter
+	memory *memoryBudget
 	// deadline is the time by which the current call must be complete.
 	deadline time.Time
 	// expires is the time from which the connection must not be reused.
@@ -247,7 +251,7 @@
 	}
 	connections.Add("opened", 1)
 	head := &headLimiter{r: raw}
-	return &conn{Conn: raw, address: address, r: bufio.NewReaderSize(head, readBuffer), head: head}, nil
+	return &conn{Conn: raw, address: address, r: bufio.NewReaderSize(head, readBuffer), head: head, memory: p.memory}, nil
 }
 
 // errHeadTooLong is returned when the head of a response exceeds maxHeadBytes.
@@ -259,11 +263,14 @@
 	// reading is set while a head is read, and left is how much of it may be read still.
 	reading bool
 	left    int
+	// lines is the number of lines of the head read so far, and hold the memory for it.
+	lines int
+	hold  *memoryHold
 	// heardAt is when bytes arrived last, in nanoseconds since clockStart. Other goroutines
 	// may read it.
 	heardAt atomic.Int64
 	// record gets what is read; nil for none.
-	record *bytes.Buffer
+	record *byteRecord
 }
 
 // clockStart is the start of the times kept in atomic variables, which count by the steady clock.
@@ -284,25 +291,30 @@
 	if n > 0 {
 		l.heardAt.Store(int64(time.Since(clockStart)))
 		if l.record != nil {
-			l.record.Write(p[:n])
+			l.record.add(p[:n])
 		}
 	}
 	return n, err
 }
 
 // begin starts the reading of a head, end ends it.
-func (l *headLimiter) begin() { l.reading, l.left = true, maxHeadBytes }
+func (l *headLimiter) begin() { l.reading, l.left, l.lines = true, maxHeadBytes, 0 }
 func (l *headLimiter) end()   { l.reading = false }
 
 func (l *headLimiter) Read(p []byte) (int, error) {
 	if !l.reading {
 		return l.readRaw(p)
 	}
-	if l.left <= 0 {
+	if l.left <= 0 || l.lines > maxHeadLines {
 		return 0, errHeadTooLong
 	}
 	n, err := l.readRaw(p[:min(len(p), l.left)])
 	l.left -= n
+	l.lines += headLines(p[:n])
+	if l.hold != nil && !l.hold.cover(headCost(maxHeadBytes-l.left, l.lines)) {
+		responseMemoryFull.Add("head", 1)
+		return 0, errMemoryFull
+	}
 	return n, err
 }
 
@@ -335,14 +347,14 @@
 }
 
 // discardRecorded does the same and returns all bytes that have arrived behind the head, also those that are
-// no part of the body.
-func (c *conn) discardRecorded(body io.Reader, timeout time.Duration) (behind []byte, err error) {
+// no part of the body. The caller must release the memory that they take.
+func (c *conn) discardRecorded(body io.Reader, timeout time.Duration) (behind *byteRecord, err error) {
+	behind = &byteRecord{hold: *c.memory.hold(freeHeadMemory)}
 	buffered, _ := c.r.Peek(c.r.Buffered())
-	record := bytes.NewBuffer(bytes.Clone(buffered))
-	c.head.record = record
+	behind.add(buffered)
+	c.head.record = behind
 	defer func() { c.head.record = nil }()
-	err = c.discard(body, timeout)
-	return record.Bytes(), err
+	return behind, c.discard(body, timeout)
 }
 
 // staysOpen waits for d and reports whether the connection, on which nothing was sent, is
@@ -543,6 +555,9 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			if c.head.hold != nil {
+				c.head.hold.shrink(headerCost(resp.Header)) // a part of the body may have counted as head
+			}
 			return resp, nil
 		}
 	}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -10,6 +10,9 @@
 // maxEventBytes limits the size of one event of a stream.
 const maxEventBytes = 256 << 10
 
+// firstEventBuffer is the size in bytes of the buffer for the first event of a stream, which grows with the events.
+const firstEventBuffer = 512
+
 // errEventTooLong is returned when an event exceeds maxEventBytes.
 var errEventTooLong = errors.New("event is too long")
 
@@ -22,6 +25,10 @@
 	r *bufio.Reader
 	// buf holds the event being read.
 	buf []byte
+	// hold is the memory of buf.
+	hold memoryHold
+	// full is set if there was no memory for the event.
+	full bool
 	// err is the error that ended the stream. A body that is read once more may report a proper end.
 	err error
 }
@@ -55,12 +62,19 @@
 // io.ErrUnexpectedEOF if the last event is incomplete.
 func (e *eventReader) next() (event []byte, id string, err error) {
 	e.buf = e.buf[:0]
+	if cap(e.buf) > freePartMemory { // streams with a long event now and then would keep its memory
+		e.buf = nil
+		e.hold.release()
+	}
 	// lineStart is where the current line begins in buf, and bareReturn is set if the line before it
 	// ended with a carriage return only.
 	lineStart, bareReturn := 0, false
 	for {
-		if len(e.buf) > maxEventBytes {
+		switch {
+		case len(e.buf) > maxEventBytes:
 			return nil, "", errEventTooLong
+		case e.full:
+			return nil, "", errMemoryFull
 		}
 		if len(e.peek(1)) == 0 {
 			if errors.Is(e.err, io.EOF) && len(e.buf) > 0 {
@@ -82,15 +96,24 @@
 		end := e.lineEnd(bareReturn)
 		bareReturn = len(end) == 1 && end[0] == '\r'
 		e.take(end)
-		if blank {
+		if blank && !e.full {
 			return e.buf, eventID(e.buf), nil
 		}
 		lineStart = len(e.buf)
 	}
 }
 
-// take appends the next unread bytes, which part holds, to the event.
+// take appends the next unread bytes, which part holds, to the event. It sets full if there is no memory for them.
 func (e *eventReader) take(part []byte) {
+	if need := len(e.buf) + len(part); need > cap(e.buf) {
+		size := max(need, firstEventBuffer, min(2*cap(e.buf), maxEventBytes+readBuffer))
+		if !e.hold.cover(size) {
+			responseMemoryFull.Add("event", 1)
+			e.full = true
+			return
+		}
+		e.buf = append(make([]byte, 0, size), e.buf...)
+	}
 	e.buf = append(e.buf, part...)
 	_, _ = e.r.Discard(len(part)) // can't fail, as they are buffered
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -44,8 +44,13 @@
 	// repeated is set if a call with the same ID was sent to the address before. The response may be
 	// a copy of the one to it.
 	repeated bool
+	// headHold is the memory that the head takes.
+	headHold *memoryHold
 }
 
+// release gives back the memory of the head. It must be called once the response was forwarded.
+func (r *response) release() { r.headHold.release() }
+
 // failure describes an attempt that ended without a usable response.
 type failure struct {
 	outcome Outcome
@@ -79,6 +84,8 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	var info ResponseInfo
+	hold := f.connPool.memory.hold(freeHeadMemory)
+	c.head.hold = hold
 	resp, reqWrite, sent, err := c.roundTrip(ctx, req, len(body), func(resp *http.Response) bool {
 		info = f.dialect.ReadResponse(resp.StatusCode, resp.Header)
 		observe(info)
@@ -87,6 +94,7 @@
 	if err != nil {
 		stop()
 		c.Close()
+		hold.release()
 		err = withCause(ctx, err)
 		switch {
 		case !sent:
@@ -99,7 +107,7 @@
 		return nil, &failure{InvalidResponse, err}
 	}
 	return &response{status: resp.StatusCode, header: resp.Header, info: info, length: resp.ContentLength,
-		body: resp.Body, dialect: f.dialect, pool: f.connPool, conn: c, resp: resp, reqWrite: reqWrite, stop: stop, repeated: repeated}, nil
+		body: resp.Body, dialect: f.dialect, pool: f.connPool, conn: c, resp: resp, reqWrite: reqWrite, stop: stop, repeated: repeated, headHold: hold}, nil
 }
 
 // belongsTo reports whether a response is taken for the one to the call with the given ID. A
@@ -161,12 +169,13 @@
 // refuse ends the use of a response that states that the call was not executed, and returns the
 // failure that it counts as. The connection is not kept if more has come with it.
 func (r *response) refuse(outcome Outcome) *failure {
-	behind, err := r.conn.discardRecorded(r.body, discardTimeout)
+	record, err := r.conn.discardRecorded(r.body, discardTimeout)
 	unread := err == nil && r.conn.hasUnread()
 	// Without a length, or with a wrong one, the answer stands where the body of the refusal is due.
-	contradicted := responsescan.Contains(behind, func(status int, header http.Header) bool {
+	contradicted := record.incomplete || responsescan.Contains(record.data, func(status int, header http.Header) bool {
 		return r.contradicts(r.dialect.ReadResponse(status, header))
 	})
+	record.hold.release()
 	contradicted = contradicted || unread && r.isContradicted()
 	r.close(err == nil && !unread && !contradicted)
 	if contradicted {
@@ -207,14 +216,6 @@
 	return true // not all of it was read
 }
 
-// bufferBody reads at most maxBufferedBody bytes of the body. more is set if that
-// limit was reached.
-func (r *response) bufferBody() (body []byte, more bool, err error) {
-	buf := bytes.Buffer{}
-	n, err := io.Copy(&buf, io.LimitReader(r.body, maxBufferedBody))
-	return buf.Bytes(), n == maxBufferedBody, err
-}
-
 // newRequest returns the HTTP request of an attempt: the caller's method, target
 // and body with the given headers.
 func newRequest(r *http.Request, address string, header http.Header, body []byte) *http.Request {
