consensus: a new cluster takes commands once it bears the declared losses

Cause: the VM that forms the cluster is its only voter at first, and one voter is a majority. The declared losses were asked for only before a voter is demoted.

Change: the replica set of a new cluster is marked as forming until a committed set has as many voters as bear the declared losses (2n+1, or all configured addresses if there are fewer). Until then the leader refuses commands and reads as unavailable and not run, it starts no term of the control role, and its view is not confirmed, so backend servers' heartbeats get 503 at once and come again. The mark is never set again, so a cluster that shrinks later goes on. Sets without it, as those of earlier releases, are formed. Replicas without a cluster ask to join every 50 ms instead of 250 ms, since one joins at a time.

A first version looked at the committed set alone and took commands between Bootstrap and the commit of its entry; TestFirstAcknowledgementOutlivesDeclaredLosses found it.

Tests changed: newTestCluster, newSimulation and newInstallation are split so that a test can start the members itself. The simulations run with the voters that bear one loss, or the declared ones.

--- a/internal/consensus/apply.go
+++ b/internal/consensus/apply.go
@@ -133,7 +133,7 @@
 		return
 	}
 	if !n.replica.RequestRead(now, 0) {
-		replyToReads(n.queuedReads, n.notLeader())
+		replyToReads(n.queuedReads, n.refusal())
 		n.queuedReads = nil
 		return
 	}
--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -103,6 +103,7 @@
 	if live <= voters/2 {
 		return ErrQuorumAtRisk
 	}
+	set.Forming = r.set.current().GetForming() && voters < r.options.FormingVoters
 	data, err := proto.Marshal(set)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/consensus/forming_test.go
@@ -0,0 +1,136 @@
+package consensus
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"parsleypulley/internal/fault"
+)
+
+// Guards against a command that is acknowledged in a new cluster while it is on fewer disks
+// than survive the declared losses: the disks of the leader and of as many others as are to
+// be borne are lost right after the first acknowledgement, and all other hosts lose power.
+func TestFirstAcknowledgementOutlivesDeclaredLosses(t *testing.T) {
+	tests := map[string]struct{ hosts, losses int }{
+		"one of three": {3, 1}, "one of four": {4, 1}, "two of five": {5, 2}, "two of seven": {7, 2}, "three of seven": {7, 3},
+	}
+	for title, test := range tests {
+		t.Run(title, func(t *testing.T) {
+			for seed := range uint64(40) {
+				is := is.New(t)
+				sim := newUnformedSimulation(seed, test.hosts, test.losses)
+				is.NoErr(sim.hosts[0].replica.Bootstrap(sim.now))
+				sim.faults.delay = 4 * simStep
+				var late []*host
+				for _, h := range sim.hosts[1:] {
+					sim.crash(h)
+					late = append(late, h)
+				}
+				sim.random.Shuffle(len(late), func(i, j int) { late[i], late[j] = late[j], late[i] })
+				for _, h := range late {
+					sim.run(sim.randomUpTo(simElectionTimeout), sim.startRequests)
+					if sim.writes > 0 {
+						break
+					}
+					sim.restart(h)
+				}
+				for end := sim.now.Add(20 * simElectionTimeout); sim.writes == 0; sim.run(simStep, sim.startRequests) {
+					is.True(sim.now.Before(end)) // a command is acknowledged
+				}
+				lost := map[*host]bool{sim.leader(): true}
+				for len(lost) < test.losses {
+					lost[sim.hosts[sim.random.IntN(len(sim.hosts))]] = true
+				}
+				for _, h := range sim.hosts {
+					sim.crash(h)
+					if lost[h] {
+						sim.loseDisk(h)
+					}
+					sim.restart(h)
+				}
+				sim.leaderWithin(is, simPowerLossLimit)
+				sim.run(20*simElectionTimeout, sim.startRequests)
+				sim.run(2*simElectionTimeout, func() {})
+				sim.checkConvergence()
+				sim.checkReplicaSets()
+				is.Equal(sim.violations, nil)
+			}
+		})
+	}
+}
+
+// Guards against a cluster that takes commands again only once as many replicas vote as a
+// new one needs: after the first time, it takes them with every majority, also after its
+// log began with a snapshot.
+func TestFormedClusterStaysFormedWithFewerVoters(t *testing.T) {
+	is := is.New(t)
+	sim := newSettledSimulation(t, 1, 3)
+	sim.run(100*simElectionTimeout, sim.startRequests)
+	leader := sim.leader()
+	is.True(leader.disk.Snapshot != nil)
+	removed := sim.follower()
+	sim.removeHost(removed)
+	is.NoErr(leader.replica.RemoveReplica(sim.now, removed.id))
+	sim.run(5*simElectionTimeout, sim.startRequests)
+	sim.losePower()
+	sim.leaderWithin(is, simPowerLossLimit)
+	writes := sim.writes
+	sim.run(5*simElectionTimeout, sim.startRequests)
+	is.Equal(len(sim.leader().replica.set.voters()), 2)
+	is.True(sim.writes > writes)
+	is.Equal(sim.violations, nil)
+}
+
+// Guards against an installation from before replica sets had the mark of a cluster that
+// forms: its logs and snapshots count as formed, whatever their number of voters.
+func TestReplicaSetsWithoutMarkAreFormed(t *testing.T) {
+	is := is.New(t)
+	sim := newUnformedSimulation(1, 1, 1)
+	h := sim.hosts[0]
+	is.NoErr(h.replica.Bootstrap(sim.now)) // one host needs one voter, so the set has no mark
+	sim.run(simElectionTimeout, func() {})
+	sim.formingVoters = 3
+	sim.crash(h)
+	sim.restart(h)
+	sim.leaderWithin(is, simPowerLossLimit)
+	sim.run(simElectionTimeout, sim.startRequests)
+	is.True(sim.writes > 0)
+}
+
+// Guards against a refusal by a cluster that forms which callers can't try again, or which
+// leaves open whether the command ran, and against an empty state that is read there.
+func TestFormingClusterRefusesCommandsAndReads(t *testing.T) {
+	is := is.New(t)
+	c := newUnformedTestCluster(t, 3, Config{FormingVoters: 3})
+	c.start(0)
+	first := c.node(0)
+	is.NoErr(first.Bootstrap(t.Context()))
+	c.waitFor("the first leads", func() bool { return first.Status().Role == Leader })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	_, err := first.Propose(ctx, []byte("early"))
+	is.True(fault.Is(err, fault.Unavailable))
+	is.Equal(fault.From(err).Outcome, fault.NotRun)
+	err = first.ReadBarrier(ctx)
+	is.True(fault.Is(err, fault.Unavailable))
+	is.Equal(fault.From(err).Outcome, fault.NotRun)
+	status := first.Status()
+	is.True(status.Forming)
+	is.True(!status.Confirmed)
+
+	c.start(1)
+	c.waitFor("the second has a vote", func() bool { return first.Status().Voters() == 2 })
+	_, err = first.Propose(ctx, []byte("with two voters"))
+	is.True(fault.Is(err, fault.Unavailable))
+	c.start(2)
+	c.waitForVoters(3)
+	c.propose("with three voters")
+	is.NoErr(c.leader().ReadBarrier(ctx))
+	for _, machine := range c.machines {
+		c.waitFor("the command is applied everywhere", func() bool { return len(machine.commandTexts()) > 0 })
+		is.Equal(machine.commandTexts()[0], "with three voters")
+	}
+}
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -174,9 +174,9 @@
 
 // Propose appends commands to the leader's log and returns the index of the first
 // one. It returns false if this replica isn't the leader or is transferring its
-// leadership.
+// leadership, or while the cluster is forming.
 func (r *Replica) Propose(commands ...[]byte) (first uint64, ok bool) {
-	if r.role != Leader || r.leading.transferTarget != 0 {
+	if r.role != Leader || r.leading.transferTarget != 0 || r.Forming() {
 		return 0, false
 	}
 	first = r.log.lastIndex() + 1
--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -156,7 +156,7 @@
 	first, ok := n.replica.Propose(commands...)
 	for i, p := range accepted {
 		if !ok {
-			p.reply <- proposalResult{err: n.notLeader()}
+			p.reply <- proposalResult{err: n.refusal()}
 			continue
 		}
 		n.waiters[first+uint64(i)] = p
@@ -243,11 +243,15 @@
 // requestJoin asks the peers, and the replicas that this one knows, to add it or to
 // update its address.
 func (n *Node) requestJoin(now time.Time) {
-	if now.Sub(n.lastJoinRequest) < joinInterval {
+	r := n.replica
+	interval := joinInterval
+	if r.set.current() == nil {
+		interval = firstJoinInterval
+	}
+	if now.Sub(n.lastJoinRequest) < interval {
 		return
 	}
 	n.lastJoinRequest = now
-	r := n.replica
 	if self := r.set.find(n.id); r.role == Leader && self != nil && self.Address != n.config.Address {
 		// An error means that another change is pending; the next call retries.
 		_ = r.AddLearner(now, &wire.Replica{Id: n.id, Address: n.config.Address})
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -57,6 +57,10 @@
 	// joinInterval is the time between two requests to join a cluster or to update
 	// this replica's address in it.
 	joinInterval = 250 * time.Millisecond
+	// firstJoinInterval is the same time while this replica knows no cluster. It is
+	// shorter since a new cluster takes no commands until enough replicas have joined,
+	// which happens one at a time.
+	firstJoinInterval = 50 * time.Millisecond
 )
 
 // Config configures a Node. Store, Machine, Transport and Address must be set.
@@ -76,6 +80,9 @@
 	// the term or the leader changes. It must not block.
 	OnRoleChange func(Status)
 
+	// FormingVoters is as in Options.
+	FormingVoters int
+
 	// The fields below, if 0, are set to the Default constants of the same name.
 
 	// DeclaredLosses is the number of VMs whose simultaneous loss the cluster must
@@ -197,6 +204,7 @@
 		ElectionTimeout:   c.ElectionTimeout,
 		HeartbeatInterval: c.HeartbeatInterval,
 		DeclaredLosses:    c.DeclaredLosses,
+		FormingVoters:     c.FormingVoters,
 	}, state)
 	if err != nil {
 		return nil, fmt.Errorf("recover replica: %w", err)
@@ -227,6 +235,7 @@
 
 // Propose replicates command and returns the result of Machine.Apply for it. It
 // fails with fault.NotLeader, outcome NotRun and the leader's address; with
+// fault.Unavailable and outcome NotRun while the cluster is forming; with
 // fault.Overloaded and outcome NotRun; or with fault.OutcomeUnknown if the command
 // may still be committed.
 func (n *Node) Propose(ctx context.Context, command []byte) (any, error) {
@@ -264,7 +273,8 @@
 
 // ReadBarrier returns once this replica has applied all entries that were committed
 // in the cluster when it was called. It fails with fault.NotLeader if this replica
-// isn't the leader or loses leadership, and with fault.Unavailable if ctx ends first.
+// isn't the leader or loses leadership, and with fault.Unavailable if ctx ends first or
+// the cluster is forming.
 func (n *Node) ReadBarrier(ctx context.Context) error {
 	c := &readCall{ctx: ctx, reply: make(chan error, 1)}
 	select {
@@ -390,6 +400,16 @@
 	return err
 }
 
+// refusal returns why the replica takes no command and no read: it doesn't lead, or the
+// cluster is forming. It must be called on the node's goroutine.
+func (n *Node) refusal() *fault.Error {
+	if n.replica.role == Leader && n.replica.Forming() {
+		return fault.New(fault.Unavailable, fault.NotRun, "the cluster is forming: it has %d of %d voters",
+			len(n.replica.set.voters()), n.replica.options.FormingVoters)
+	}
+	return n.notLeader()
+}
+
 func outcomeUnknown(format string, args ...any) *fault.Error {
 	return fault.New(fault.OutcomeUnknown, fault.Unknown, format, args...)
 }
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -160,25 +160,34 @@
 // newTestClusterWithCommandLimit starts a cluster whose state machines keep only the
 // number of newest commands given by keep; 0 keeps all.
 func newTestClusterWithCommandLimit(t testing.TB, size int, config Config, keep int) *testCluster {
+	c := newUnformedTestCluster(t, size, config)
+	c.keep = keep
+	for i := range size {
+		c.start(i)
+	}
+	c.is.NoErr(c.node(0).Bootstrap(t.Context()))
+	c.waitForVoters(size)
+	return c
+}
+
+// newUnformedTestCluster returns a cluster of which no node runs yet.
+func newUnformedTestCluster(t testing.TB, size int, config Config) *testCluster {
 	c := &testCluster{
 		t: t, is: is.New(t),
 		network: &network{
 			nodes: map[string]*Node{}, cut: map[string]bool{},
 		},
 		dirs: map[string]string{}, machines: map[string]*recordingMachine{}, stores: map[string]*storage.Store{},
-		disks: map[string]*faultyDisk{}, config: config, keep: keep,
+		disks: map[string]*faultyDisk{}, config: config,
 	}
 	for i := range size {
 		c.dirs[address(i)] = t.TempDir()
-		c.start(i)
 	}
 	t.Cleanup(func() {
 		for i := range size {
 			c.stop(i)
 		}
 	})
-	c.is.NoErr(c.node(0).Bootstrap(t.Context()))
-	c.waitForVoters(size)
 	return c
 }
 
--- a/internal/consensus/options.go
+++ b/internal/consensus/options.go
@@ -62,6 +62,9 @@
 	// DeclaredLosses is the number of VMs whose simultaneous loss the cluster must
 	// bear; see Replica.minVoters.
 	DeclaredLosses int
+	// FormingVoters is the number of voters that a new cluster needs before it takes
+	// commands; 0 is 1. See Replica.Forming.
+	FormingVoters int
 }
 
 func (o Options) withDefaults() Options {
@@ -73,6 +76,7 @@
 	setDefault(&o.MaxApplyBytes, DefaultMaxApplyBytes)
 	setDefault(&o.MaxVoters, DefaultMaxVoters)
 	setDefault(&o.DeclaredLosses, DefaultDeclaredLosses)
+	setDefault(&o.FormingVoters, 1)
 	return o
 }
 
--- a/internal/consensus/reads.go
+++ b/internal/consensus/reads.go
@@ -13,12 +13,13 @@
 }
 
 // RequestRead requests a linearizable read. A later Ready holds a Read with the same
-// token. RequestRead returns false if this replica isn't the leader.
+// token. RequestRead returns false if this replica isn't the leader, or while the
+// cluster is forming: its empty state is not known to be that of the installation.
 //
 // Reads are confirmed by a heartbeat round to a quorum rather than by a leader lease,
 // because the clock of a frozen VM may stand still while another replica is elected.
 func (r *Replica) RequestRead(now time.Time, token uint64) bool {
-	if r.role != Leader {
+	if r.role != Leader || r.Forming() {
 		return false
 	}
 	read := pendingRead{token: token}
--- a/internal/consensus/replace_test.go
+++ b/internal/consensus/replace_test.go
@@ -23,9 +23,9 @@
 
 // declareLosses sets the number of losses that all replicas are told to bear.
 func (sim *simulation) declareLosses(losses int) {
-	sim.declaredLosses = losses
+	sim.declaredLosses, sim.formingVoters = losses, min(len(sim.hosts), 2*losses+1)
 	for _, h := range sim.hosts {
-		h.replica.options.DeclaredLosses = losses
+		h.replica.options.DeclaredLosses, h.replica.options.FormingVoters = losses, sim.formingVoters
 	}
 }
 
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -138,7 +138,10 @@
 	if r.log.lastIndex() > 0 || r.term > 0 || r.set.current() != nil {
 		return ErrInCluster
 	}
-	set := &wire.ReplicaSet{Replicas: []*wire.Replica{{Id: r.options.ID, Address: r.options.Address}}}
+	set := &wire.ReplicaSet{
+		Replicas: []*wire.Replica{{Id: r.options.ID, Address: r.options.Address}},
+		Forming:  r.options.FormingVoters > 1,
+	}
 	data, err := proto.Marshal(set)
 	if err != nil {
 		return fmt.Errorf("encode replica set: %w", err)
@@ -150,6 +153,17 @@
 	return nil
 }
 
+// Forming reports whether the cluster is new and has not yet had Options.FormingVoters
+// voters in a committed replica set. Until then a command could be committed on fewer
+// disks than survive the declared losses, so the leader takes no commands and no reads.
+func (r *Replica) Forming() bool {
+	committed := r.set.at(r.log.commitIndex)
+	if committed == nil && len(r.set.history) > 0 {
+		committed = r.set.history[0].set // the first set is not yet known to be committed
+	}
+	return committed.GetForming()
+}
+
 // Tick runs the timers that are due. It should be called every few tens of
 // milliseconds.
 func (r *Replica) Tick(now time.Time) {
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -37,6 +37,8 @@
 	blocked map[[2]int]bool
 	// declaredLosses is the number of losses that the replicas are told to bear.
 	declaredLosses int
+	// formingVoters is Options.FormingVoters of all replicas.
+	formingVoters int
 	// lastID is the last identity, token or command number used.
 	lastID uint64
 
@@ -117,7 +119,15 @@
 }
 
 func newSimulation(seed uint64, hosts int) *simulation {
+	sim := newUnformedSimulation(seed, hosts, DefaultDeclaredLosses)
+	_ = sim.hosts[0].replica.Bootstrap(sim.now)
+	return sim
+}
+
+// newUnformedSimulation returns a simulation in which no host has bootstrapped the cluster.
+func newUnformedSimulation(seed uint64, hosts, losses int) *simulation {
 	sim := &simulation{
+		declaredLosses: losses, formingVoters: min(hosts, 2*losses+1),
 		random:  rand.New(rand.NewPCG(seed, 0)),
 		now:     time.Unix(1_000_000, 0),
 		blocked: map[[2]int]bool{},
@@ -130,7 +140,6 @@
 		sim.loseDisk(h)
 		sim.restart(h)
 	}
-	_ = sim.hosts[0].replica.Bootstrap(sim.now)
 	return sim
 }
 
@@ -164,7 +173,7 @@
 	replica, err := NewReplica(sim.now, Options{
 		ID: h.id, Address: h.address(), Random: rand.New(rand.NewPCG(sim.random.Uint64(), 0)),
 		ElectionTimeout: simElectionTimeout, HeartbeatInterval: simHeartbeatInterval,
-		MaxInflight: 4, MaxMessageBytes: 64, MaxApplyBytes: 64, SnapshotChunkBytes: 16, DeclaredLosses: sim.declaredLosses,
+		MaxInflight: 4, MaxMessageBytes: 64, MaxApplyBytes: 64, SnapshotChunkBytes: 16, DeclaredLosses: sim.declaredLosses, FormingVoters: sim.formingVoters,
 	}, &h.disk)
 	if err != nil {
 		panic(err)
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -24,9 +24,11 @@
 	Applied uint64
 	// Confirmed is true if ConfirmedAt is less than an election timeout ago.
 	Confirmed bool
+	// Forming is true while the cluster takes no commands; see Replica.Forming.
+	Forming bool
 	// ConfirmedAt is the latest time at which the leader, which is this replica or
 	// one that it received messages from, is known to have been in contact with a
-	// quorum.
+	// quorum. It is zero while Forming is true.
 	ConfirmedAt time.Time
 	// DeclaredLosses is the number of VMs whose loss must be borne, and BearableLosses
 	// the number of voters that may be lost now before there is no majority. The
@@ -49,8 +51,11 @@
 
 // ConfirmedAt returns the latest time at which the leader, which is this replica
 // or one that it received messages from, is known to have been in contact with a
-// quorum.
+// quorum. It is zero while the cluster is forming.
 func (r *Replica) ConfirmedAt() time.Time {
+	if r.Forming() {
+		return time.Time{}
+	}
 	if r.role == Leader && r.barrierCommitted() {
 		return r.leading.quorumContact
 	}
@@ -68,6 +73,7 @@
 		Leader:      r.leader,
 		Commit:      r.log.commitIndex,
 		Applied:     r.log.appliedIndex,
+		Forming:     r.Forming(),
 		ConfirmedAt: r.ConfirmedAt(),
 		Replicas:    r.set.current().GetReplicas(),
 	}
@@ -113,6 +119,9 @@
 	s := n.replica.Status(steady.Now())
 	before := n.status.Swap(&s)
 	n.logBearableLosses(&s)
+	if before != nil && before.Forming && !s.Forming && s.Role == Leader {
+		event.ClusterFormed(n.self(), s.Voters())
+	}
 	if before != nil && before.Role == s.Role && before.Term == s.Term && before.Leader == s.Leader {
 		return
 	}
--- a/internal/control/external.go
+++ b/internal/control/external.go
@@ -182,8 +182,11 @@
 }
 
 // notLeading returns the error of a replica that does not lead, with the address of the
-// leader if it is known.
+// leader if it is known, or that of a leader whose cluster is forming.
 func (l *leader) notLeading() error {
+	if status := l.node.Status(); status.Role == consensus.Leader && status.Forming {
+		return fault.New(fault.Unavailable, fault.NotRun, "the cluster is forming")
+	}
 	e := fault.New(fault.NotLeader, fault.NotRun, "this control replica does not lead")
 	if status := l.node.Status(); status.Role != consensus.Leader {
 		e.Leader = status.LeaderAddress
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -41,6 +41,7 @@
 	expvar.Publish("consensus_voters", expvar.Func(func() any { return status().Voters() }))
 	expvar.Publish("consensus_declared_losses", expvar.Func(func() any { return status().DeclaredLosses }))
 	expvar.Publish("consensus_bearable_losses", expvar.Func(func() any { return status().BearableLosses }))
+	expvar.Publish("consensus_forming", expvar.Func(func() any { return status().Forming }))
 	expvar.Publish("consensus_confirmed", expvar.Func(func() any { return status().Confirmed }))
 }
 
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -48,6 +48,11 @@
 	log.WithFields(r.fields()).WithFields(log.Fields{"bearable": bearable, "declared": declared}).Info("the declared losses can be borne")
 }
 
+// ClusterFormed logs that a new cluster has the voters that it needs to take commands.
+func ClusterFormed(r Replica, voters int) {
+	log.WithFields(r.fields()).WithField("voters", voters).Info("the cluster is formed")
+}
+
 // CommittedBelowDeclared logs that the leader reported a command as committed while the replica set had
 // fewer voters than the declared losses need.
 func CommittedBelowDeclared(r Replica, index uint64, voters, needed int) {
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -112,7 +112,7 @@
 	"BackendDown": event.BackendDown, "BackendUp": event.BackendUp, "DrainChanged": event.DrainChanged,
 	"ControlUnreachable": event.ControlUnreachable, "ControlReachable": event.ControlReachable, "ProbeFailed": event.ProbeFailed,
 	"CacheEventsReadFailed": event.CacheEventsReadFailed, "OrderFinished": event.OrderFinished,
-	"RoleChanged": event.RoleChanged, "NoMajority": event.NoMajority, "ReplicaSetChanged": event.ReplicaSetChanged, "DeclaredLossesExceedBearable": event.DeclaredLossesExceedBearable, "DeclaredLossesBearable": event.DeclaredLossesBearable, "CommittedBelowDeclared": event.CommittedBelowDeclared,
+	"RoleChanged": event.RoleChanged, "NoMajority": event.NoMajority, "ReplicaSetChanged": event.ReplicaSetChanged, "DeclaredLossesExceedBearable": event.DeclaredLossesExceedBearable, "DeclaredLossesBearable": event.DeclaredLossesBearable, "CommittedBelowDeclared": event.CommittedBelowDeclared, "ClusterFormed": event.ClusterFormed,
 	"ReplicaFailed": event.ReplicaFailed, "SnapshotInstalled": event.SnapshotInstalled,
 	"SnapshotSaved": event.SnapshotSaved, "ReplicaWaitsForDisk": event.ReplicaWaitsForDisk, "LeadershipTransferFailed": event.LeadershipTransferFailed,
 	"LeaderTermStarted": event.LeaderTermStarted, "LeaderTermStartFailed": event.LeaderTermStartFailed, "CommandNotCommitted": event.CommandNotCommitted,
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -31,8 +31,8 @@
 	Data string
 	// Storage configures the files in Data. The zero value selects the defaults.
 	Storage storage.Options
-	// DeclaredLosses is as in ReplicaOptions.
-	DeclaredLosses int
+	// DeclaredLosses and FormingVoters are as in ReplicaOptions.
+	DeclaredLosses, FormingVoters int
 	// Listen is the address (ip:port) for calls of operators and backend servers.
 	Listen string
 	// Bootstrap is set when the whole installation starts for the first time.
@@ -156,7 +156,10 @@
 
 // ReplicaReady returns the reason why a replica can't serve, or nil.
 func ReplicaReady(node *consensus.Node) error {
-	if !node.Status().Confirmed {
+	switch status := node.Status(); {
+	case status.Forming:
+		return fmt.Errorf("the cluster is forming and has %d voters", status.Voters())
+	case !status.Confirmed:
 		return errors.New("no quorum contact")
 	}
 	return nil
--- a/internal/node/replica.go
+++ b/internal/node/replica.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"fmt"
 
 	"parsleypulley/internal/consensus"
@@ -29,6 +30,10 @@
 	// DeclaredLosses is the number of control VMs whose simultaneous loss must be
 	// borne. If it is 0, it is the number that the replicas in Settings.Control bear.
 	DeclaredLosses int
+	// FormingVoters is the number of voters that a new cluster needs before it takes
+	// commands. If it is 0, it is the number that bears the declared losses, but no more
+	// than the replicas in Settings.Control.
+	FormingVoters int
 }
 
 // declaredLosses returns the number of losses that must be borne. A majority of 2n+1
@@ -40,6 +45,12 @@
 	return min(max(1, (replicas-1)/2), consensus.MaxDeclaredLosses)
 }
 
+// formingVoters returns the number of voters that a new cluster needs before it takes
+// commands, if replicas are all that there are.
+func formingVoters(losses, replicas int) int {
+	return min(2*losses+1, max(1, replicas))
+}
+
 // StartReplica opens the data folder and starts a replica. Close must be called.
 func StartReplica(p *daemon.Process, o ReplicaOptions) (*Replica, error) {
 	store, damage, err := storage.OpenOrReset(o.Data, o.Storage)
@@ -52,6 +63,7 @@
 	}
 	machine := control.NewMachine(control.DefaultLimits())
 	address := p.Settings.Address()
+	losses := declaredLosses(o.DeclaredLosses, len(p.Settings.Control))
 	node, err := consensus.Start(consensus.Config{
 		Store:     store,
 		Machine:   machine,
@@ -59,7 +71,8 @@
 		Address:   address,
 		Peers:     o.Peers,
 
-		DeclaredLosses: declaredLosses(o.DeclaredLosses, len(p.Settings.Control)),
+		DeclaredLosses: losses,
+		FormingVoters:  cmp.Or(o.FormingVoters, formingVoters(losses, len(p.Settings.Control))),
 	})
 	if err != nil {
 		_ = store.Close() // the start error is more informative
--- a/internal/node/replica_host.go
+++ b/internal/node/replica_host.go
@@ -74,7 +74,8 @@
 func (h *replicaHost) newReplica(ctx context.Context) (*servedReplica, error) {
 	settings := h.options.Settings
 	replica, err := StartReplica(h.process, ReplicaOptions{
-		Data: h.options.Data, Storage: h.options.Storage, Peers: settings.Control, DeclaredLosses: h.options.DeclaredLosses,
+		Data: h.options.Data, Storage: h.options.Storage, Peers: settings.Control,
+		DeclaredLosses: h.options.DeclaredLosses, FormingVoters: h.options.FormingVoters,
 	})
 	if err != nil {
 		return nil, err
