forward: checks of a server don't cut responses that have begun

Cause: the attempts at a server ended when a check by new connections failed and the leader suspected the server as well. Both checks are the same test of the same listener: a sound server whose queue is full drops both. On a route that can be resumed a failed check ended the attempt even if the call could not go on elsewhere (no other server, retry budget used up).

An attempt whose caller has received a part of the response now ends on a check only if its call goes on elsewhere at that moment, with a retry taken from the budget, as for stalled streams. Else it ends with its own connection, on which the kernel sends probes, or at its deadline. Attempts without a response end as before. An attempt that a check has ended passes on nothing of a response that begins at that moment.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -107,7 +107,7 @@
 	c.outcomes = append(c.outcomes, fmt.Sprintf("%s:%s", c.backend, c.outcomeText(fail.outcome)))
 	event.ForwardAttemptFailed(event.Attempt{Request: c.call.ID, Backend: c.backend, Address: d.Backend.GetAddress(), Number: c.AttemptCount(),
 		ViewVersion: c.snapshot.Version}, c.outcomeText(fail.outcome), fail.err)
-	retryTaken := errors.Is(context.Cause(c.ctx), errStalled) && c.watched.retryTaken
+	retryTaken := endedByWatch(c.ctx) && c.watched.retryTaken
 	return c.Next(now, fail.outcome, func() bool { return retryTaken || c.f.selector.tryRetry(c.service) })
 }
 
@@ -292,9 +292,8 @@
 		}
 		return nil, Step{}
 	}
-	if !c.stop.Begin() {
-		r.close(false)
-		return &failure{InvalidResponse, errStopEnds}, Step{}
+	if fail := c.beginDelivery(r); fail != nil {
+		return fail, Step{}
 	}
 	c.writeHeader(r, r.length)
 	c.allowEndOfStalled() // the caller has received a part
@@ -334,6 +333,24 @@
 	}
 }
 
+// beginDelivery must be called before the caller receives the first part of a response whose rest has not
+// arrived yet. It returns a failure if the attempt is being ended, so that the rest would not follow: a caller
+// that has received nothing still gets another attempt or an error response.
+func (c *forwardedCall) beginDelivery(r *response) *failure {
+	if !c.watched.beginDelivery() {
+		<-c.ctx.Done() // the guard is about to cancel it
+	}
+	if c.ctx.Err() != nil {
+		r.close(false)
+		return &failure{InvalidResponse, context.Cause(c.ctx)}
+	}
+	if !c.stop.Begin() {
+		r.close(false)
+		return &failure{InvalidResponse, errStopEnds}
+	}
+	return nil
+}
+
 // errorRecorder records the error that ended reading, so that it can be told from an
 // error of the writer.
 type errorRecorder struct {
@@ -396,9 +413,8 @@
 			c.f.selector.firstToken(d)
 		}
 		if !c.headerWritten {
-			if !c.stop.Begin() {
-				r.close(false)
-				return &failure{InvalidResponse, errStopEnds}, Step{}
+			if fail := c.beginDelivery(r); fail != nil {
+				return fail, Step{}
 			}
 			c.bindStarted(d)
 			c.writeHeader(r, -1)
--- a/internal/forward/fullqueue_test.go
+++ b/internal/forward/fullqueue_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -63,7 +64,7 @@
 		}
 		fmt.Fprint(c, "0\r\n\r\n")
 	})
-	// A stream that can't be resumed would be kept until the leader suspects the server.
+	// A stream that can't be resumed would be kept.
 	route := forwardRoute(func(r *wire.ForwardRoute) { setResumableStream(r); r.TimeoutMs = 8000 })
 	r := newFixture(t, route, address)
 	stream := make(chan string)
@@ -72,6 +73,8 @@
 		stream <- body
 	}()
 	<-begun
+	// Without another server the stream would be kept.
+	r.setBackend(1, startBackend(t, func(net.Conn, *http.Request) { t.Error("another server got the stream") }), wire.BackendState_BACKEND_STATE_READY)
 	backend := &wire.Backend{Name: "b0", Address: address, AgentIncarnation: 1}
 	for range 5 { // as after a dial that timed out, at different times within a pause
 		r.f.silence.check(backend, nil, time.Time{})
@@ -95,3 +98,93 @@
 	is.Equal(status, 200)
 	is.Equal(body, eventsText(1, 5))
 }
+
+// Guards against responses that have begun and are cut, though their server is sound and nobody can go on with
+// them, since their server is silent while the queue of its listener is full: the check of the router and that
+// of the leader, which suspects the server, are the same test of the same queue.
+func TestFullQueueAndSuspicionCutNoBegunResponse(t *testing.T) {
+	const pause = 1700 * time.Millisecond
+	part := strings.Repeat("x", maxBufferedBody+10)
+	stream := func(c net.Conn, r *http.Request, begun func()) {
+		writeEvents(c, r, 1, 3, false)
+		begun()
+		fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(eventsText(4, 5)), eventsText(4, 5))
+	}
+	plain := func(c net.Conn, r *http.Request, begun func()) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCall: c1\r\nSigned: yes\r\nContent-Length: %d\r\n\r\n%s", len(part)+4, part)
+		begun()
+		fmt.Fprint(c, "rest")
+	}
+	for name, test := range map[string]struct {
+		route  func(*wire.ForwardRoute)
+		serve  func(c net.Conn, r *http.Request, begun func())
+		body   string
+		budget RetryBudgetLimits
+		// other is set if there is another server.
+		other bool
+	}{
+		"plain answer":                 {serve: plain, body: part + "rest", other: true},
+		"plain answer, may run once":   {route: setAtMostOnce, serve: plain, body: part + "rest", other: true},
+		"stream that can't be resumed": {route: func(r *wire.ForwardRoute) { r.Stream = true }, serve: stream, body: eventsText(1, 5), other: true},
+		"stream, no other server":      {route: setResumableStream, serve: stream, body: eventsText(1, 5)},
+		"stream, one attempt":          {route: func(r *wire.ForwardRoute) { setResumableStream(r); r.Attempts = 1 }, serve: stream, body: eventsText(1, 5), other: true},
+		"stream, retry budget used up": {route: setResumableStream, serve: stream, body: eventsText(1, 5), budget: RetryBudgetLimits{Window: time.Second}, other: true},
+	} {
+		for _, stopping := range []bool{false, true} {
+			t.Run(name+map[bool]string{true: ", planned stop"}[stopping], func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				begun, suspected := make(chan struct{}), make(chan struct{})
+				address := listenWithFullQueue(t, func(c net.Conn, r *http.Request) {
+					test.serve(c, r, func() { close(begun); time.Sleep(pause) })
+				})
+				unreachables := &fakeUnreachables{}
+				route := forwardRoute(func(r *wire.ForwardRoute) {
+					if test.route != nil {
+						test.route(r)
+					}
+					r.TimeoutMs = 8000
+				})
+				r := newFixtureWith(t, func(o *Options) {
+					o.Unreachable = unreachables
+					if test.budget != (RetryBudgetLimits{}) {
+						o.Budget = test.budget
+					}
+				}, route, address)
+				unreachables.mu.Lock()
+				unreachables.reportedOnce = func(*wire.UnreachableServer) {
+					r.setBackend(0, address, wire.BackendState_BACKEND_STATE_SUSPECTED)
+					close(suspected)
+				}
+				unreachables.mu.Unlock()
+				var status int
+				var body string
+				var err error
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					status, body, _, err = r.call()
+				}()
+				<-begun
+				if test.other {
+					r.setBackend(1, startBackend(t, func(c net.Conn, r *http.Request) { t.Error("another server got the call") }), wire.BackendState_BACKEND_STATE_READY)
+				}
+				if stopping {
+					now := time.Now()
+					r.f.BeginShutdown(StopTimes{Began: now, ListenerCloses: now.Add(2 * time.Second), Ends: now.Add(10 * time.Second)})
+				}
+				time.Sleep(500 * time.Millisecond)                                                                    // longer than silenceBeforeCheck
+				r.f.silence.check(&wire.Backend{Name: "b0", Address: address, AgentIncarnation: 1}, nil, time.Time{}) // as after a dial that timed out
+				<-done
+				select {
+				case <-suspected:
+				default:
+					t.Error("the server was not suspected")
+				}
+				is.NoErr(err)
+				is.Equal(status, 200)
+				is.True(body == test.body)
+			})
+		}
+	}
+}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -30,7 +30,8 @@
 // not ended as its call could not go on elsewhere ("stalled_kept"), and results that were not used
 // since something arrived from the backend server meanwhile ("contradicted"). Of the attempts whose
 // callers had received a part of the response it counts those that an unreachable backend server ended
-// ("begun_ended") and those that went on ("begun_kept").
+// ("begun_ended"), how often one went on since its call could not go on elsewhere ("begun_kept"), and how
+// often one had been ended before its caller received anything ("ended_before_begin").
 var silence = expvar.NewMap("forward_silence")
 
 var (
@@ -85,14 +86,14 @@
 	cancel context.CancelCauseFunc
 	// takeRetry reports whether another backend server can take the request that would follow,
 	// and if so takes a retry from the budget. It is called while mu is held, before the attempt
-	// of a call that has received a part of its response is ended as stalled.
+	// of a call that has received a part of its response is ended.
 	takeRetry func(*routing.Request) bool
 	// conn is the connection in use; nil before there is one.
 	conn atomic.Pointer[conn]
 	// lost is shared by the attempts that end for the same reason; nil if the attempt has not
 	// been ended by the guard. It must not be read before the attempt's context has ended.
 	lost *lostServer
-	// retryTaken is set if the attempt was ended as stalled after takeRetry had taken a retry. It
+	// retryTaken is set if the attempt was ended after takeRetry had taken a retry. It
 	// must not be read before the attempt's context has ended.
 	retryTaken bool
 
@@ -159,6 +160,28 @@
 	a.watch.mayEnd, a.delivered, a.next = allowed, delivered, next
 }
 
+// beginDelivery records that the caller is about to receive the first part of the response. It reports false
+// if the guard has ended the attempt: what has arrived of the response must not be passed on then, as the
+// rest would not follow. Until allowEnd is called, the guard does not end the attempt.
+func (a *watchedAttempt) beginDelivery() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended {
+		silence.Add("ended_before_begin", 1)
+		return false
+	}
+	a.watch.mayEnd, a.delivered = false, true
+	return true
+}
+
+// goesOnElsewhere reports whether the call of the attempt, whose caller has received a part of the response,
+// can go on at another backend server now, and if so takes a retry from the budget for that. a.mu must be
+// held.
+func (a *watchedAttempt) goesOnElsewhere(now time.Time) bool {
+	a.retryTaken = a.watch.mayEnd && a.watch.deadline.Sub(now) >= minAttemptTime && a.takeRetry(&a.next)
+	return a.retryTaken
+}
+
 // wait records that the router waits for progress of the attempt.
 func (a *watchedAttempt) wait(now time.Time) {
 	a.mu.Lock()
@@ -193,12 +216,9 @@
 	silentSince := a.watch.waitingSince
 	action, next := a.watch.tick(now, a.pauses.usualPauses)
 	pause, sentFor, started := now.Sub(a.watch.waitingSince), now.Sub(a.watch.sentAt), a.watch.started
-	if action == endStalled && a.delivered {
-		a.retryTaken = a.takeRetry(&a.next)
-		if !a.retryTaken {
-			silence.Add("stalled_kept", 1)
-			action, next = a.watch.keep(now, a.pauses.usualPauses)
-		}
+	if action == endStalled && a.delivered && !a.goesOnElsewhere(now) {
+		silence.Add("stalled_kept", 1)
+		action, next = a.watch.keep(now, a.pauses.usualPauses)
 	}
 	if action == endStalled {
 		a.ended = true
@@ -241,8 +261,8 @@
 // heardSince reports whether anything arrived on the attempt's connection since a time.
 func (a *watchedAttempt) heardSince(t time.Time) bool { return a.heardAt().After(t) }
 
-// check checks whether the machine of a backend server answers, and ends all attempts there if it
-// does not. silent is the attempt that has asked for the check since it was silent from a time on;
+// check checks whether the machine of a backend server answers, and if it does not, ends the attempts there
+// that unreachable says. silent is the attempt that has asked for the check since it was silent from a time on;
 // it may be nil. Then the result is used only if nothing has arrived from there for silenceBeforeCheck
 // either, since the pauses of a sound stream may be longer than a check. check returns when the check
 // began, which may have been run for another attempt.
@@ -279,17 +299,20 @@
 	return address[:max(0, strings.LastIndexByte(address, ':'))]
 }
 
-// unreachable ends all attempts at the address of a backend server that a check, begun at a given
+// unreachable ends the attempts at the address of a backend server that a check, begun at a given
 // time, could not reach. A result that is contradicted by something that arrived from there since
 // is not used: the machine may have dropped the connections of the check as too many were being
 // opened. The attempt that asked for the check must not have heard anything since it fell silent:
 // on a busy VM, what arrived right before the check may not have been read yet.
 //
-// If the router could not reach any server, the server may be sound: attempts whose callers have
-// received a part of the response go on, and the leader is not told. The other callers may come back at
-// a router with a better network. A sound server whose listener's queue is full does not answer a check
-// either: a response that has begun and that nobody else can go on with ends only if the leader suspects
-// the server too.
+// A check is no proof against a connection that is open: a sound server whose listener's queue is full does not
+// answer it either, nor the same check of the leader. So an attempt whose caller has received a part of the
+// response ends only if its call goes on elsewhere, and else with its own connection, on which the kernel
+// sends probes (see newDialer), or at its deadline.
+//
+// If the router could not reach any server, the server may be sound and the router at fault: attempts whose
+// callers have received a part of the response go on, and the leader is not told. The other callers may come
+// back at a router with a better network.
 func (g *silenceGuard) unreachable(b *wire.Backend, finding reach.Finding, silent *watchedAttempt, silentSince time.Time) {
 	address, since := b.GetAddress(), finding.Began
 	if earliest := time.Now().Add(-silenceBeforeCheck); silent == nil && earliest.Before(since) {
@@ -304,16 +327,14 @@
 			return
 		}
 	}
-	confirmed := finding.Result == reach.Unreachable && g.suspected[b.GetName()]
-	lost := &lostServer{}
+	now, lost := time.Now(), &lostServer{}
 	var ending []*watchedAttempt
 	begun := 0
 	for a := range attempts {
 		a.mu.Lock()
-		kept := a.delivered && !confirmed && (finding.Result == reach.NoneReachable || !a.watch.mayEnd)
 		switch {
 		case a.ended:
-		case kept:
+		case a.delivered && (finding.Result == reach.NoneReachable || !a.goesOnElsewhere(now)):
 			silence.Add("begun_kept", 1)
 		default:
 			a.ended, a.lost = true, lost
