daemon: a SIGTERM right after the first listener begins a planned stop

What callers saw: a process that is stopped in the moment in which it has started ends at once, and the requests that it has taken get no answer. Beside many other processes there may be long between its first listener and the wait for signals.

Cause: SIGTERM was caught only in Wait, after all listeners; until then its default action ended the process.

Evidence: TestSIGTERMRightAfterTheStartIsAPlannedStop; before, the child process ended with 'signal: terminated'.

Fix: SIGTERM is caught from before the first listener, and Wait finds it.

--- a/internal/daemon/process.go
+++ b/internal/daemon/process.go
@@ -51,6 +51,8 @@
 	// componentErrs receives an error for each component that ends; nil if it ended
 	// without one.
 	componentErrs chan error
+	// signals receives the signals that begin and accompany the planned stop.
+	signals chan os.Signal
 	// stopping is set from the beginning of the stop.
 	stopping    atomic.Bool
 	flushTraces func(context.Context) error
@@ -82,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Process{Settings: s, Role: role, Pool: link.NewPool(tlsConfig), componentErrs: make(chan error, 4), flushTraces: flushTraces}
+	p := &Process{Settings: s, Role: role, Pool: link.NewPool(tlsConfig), componentErrs: make(chan error, 4), signals: make(chan os.Signal, signalQueue), flushTraces: flushTraces}
 	p.Context, p.cancel = context.WithCancel(context.Background())
 	return p, nil
 }
@@ -91,6 +93,9 @@
 // returns nil when the process can do its work, otherwise the reason why not.
 func (p *Process) Serve(handler link.Handler, ready func() error) error {
 	p.ready = ready
+	// From the first listener on there may be requests, which the default action of a SIGTERM before Wait
+	// would cut.
+	signal.Notify(p.signals, syscall.SIGTERM)
 	tlsConfig, err := p.Settings.TLS()
 	if err != nil {
 		return err
@@ -175,11 +180,10 @@
 // SIGINT during the stop cancels the context of drain. SIGHUP stops nothing. Wait
 // returns the error of the component that failed.
 func (p *Process) Wait(drain func(ctx context.Context)) error {
-	// The signals are caught from the start and until the process exits. Otherwise a
-	// repeated one could kill it just as the planned stop begins or ends.
-	signals := make(chan os.Signal, signalQueue)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return p.wait(signals, drain)
+	// The signals are caught until the process exits. Otherwise a repeated one could kill it
+	// just as the planned stop begins or ends.
+	signal.Notify(p.signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return p.wait(p.signals, drain)
 }
 
 // signalQueue is the number of signals that may wait. Signals beyond it are lost.
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -197,3 +197,23 @@
 	cmd.Env = append(os.Environ(), child+"=1")
 	is.NoErr(cmd.Run())
 }
+
+// Guards against requests that a process serves already and that a SIGTERM cuts, since it comes before the process waits
+// for signals: beside many other processes there may be long between the two.
+func TestSIGTERMRightAfterTheStartIsAPlannedStop(t *testing.T) {
+	is := is.New(t)
+	const child = "PARSLEYPULLEY_TEST_SERVING_PROCESS"
+	if os.Getenv(child) != "" {
+		p := startProcess(t, alwaysReady, nil)
+		is.NoErr(syscall.Kill(os.Getpid(), syscall.SIGTERM))
+		time.Sleep(200 * time.Millisecond)
+		is.NoErr(ping(p))
+		drained := false
+		is.NoErr(p.Wait(func(context.Context) { drained = true }))
+		is.True(drained)
+		return
+	}
+	cmd := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$")
+	cmd.Env = append(os.Environ(), child+"=1")
+	is.NoErr(cmd.Run())
+}
