agent: bound what is kept of the response to a claimed call

A stream of very short events took many times the limit of its buffer.

Cause: a claimed call must finish without a reader, so its chunks were appended without waiting, and those that were not sent yet were never dropped. The limits counted the data of chunks only, not the 100 bytes that each takes beside it.

Fix: with a reader, a claimed run waits once 4 MiB are unsent; without one, its oldest chunks are dropped beyond that (the response is not stored then, as before) and the run ends once 64 MiB have come that nobody read. A chunk counts as 96 bytes at least.

--- a/internal/agent/resume_test.go
+++ b/internal/agent/resume_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -195,6 +196,78 @@
 	is.Equal(<-appended, 10)
 }
 
+// Guards against a service that answers a claimed call without end and takes the memory of the agent: no reader takes
+// the response, or one that hardly reads.
+func TestEndlessResponseToAClaimedCall(t *testing.T) {
+	const chunk = 32 << 10
+	is := is.New(t)
+	limits := DefaultStreamLimits()
+	limits.ClaimedBytes, limits.UnreadClaimedBytes = 1<<20, 8<<20
+	table := newStreamTable(limits, time.Minute)
+	s := table.add(gate.StreamKey{RequestID: "r1"}, true)
+	appendChunk := func(ctx context.Context) error {
+		err := s.append(ctx, engine.Chunk{Data: make([]byte, chunk)})
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		is.True(s.bufferedBytes <= limits.ClaimedBytes+2*chunk)
+		return err
+	}
+	reader := s.attach(context.Background(), 1)
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	n := 0
+	var err error
+	for ; err == nil && n < 1000; n++ { // a reader that does not read
+		err = appendChunk(ctx)
+	}
+	is.True(fault.Is(err, fault.Cancelled))
+	for range 100 { // one that reads gets everything
+		_, _, err := reader.next()
+		is.NoErr(err)
+		is.NoErr(appendChunk(context.Background()))
+	}
+	waiting := make(chan error, 1)
+	go func() {
+		var err error
+		for range limits.ClaimedBytes / chunk {
+			err = appendChunk(context.Background())
+		}
+		waiting <- err
+	}()
+	time.Sleep(20 * time.Millisecond)
+	is.Equal(len(waiting), 0)
+	reader.detach()
+	is.NoErr(<-waiting) // goes on without a reader
+	is.True(s.storedAnswer() == nil)
+	for err = nil; err == nil && n < 1000; n++ {
+		err = appendChunk(context.Background())
+	}
+	is.True(fault.Is(err, fault.BodyTooLarge))
+	is.Equal(fault.From(err).Outcome, fault.Ran)
+	is.True(s.unreadBytes <= limits.UnreadClaimedBytes+chunk)
+}
+
+// Guards against streams of very short events that take many times their limit of the agent's memory.
+func TestShortEventsCountWithTheirOverhead(t *testing.T) {
+	is := is.New(t)
+	limits := DefaultStreamLimits()
+	table := newStreamTable(limits, time.Minute)
+	s := table.add(gate.StreamKey{RequestID: "r1"}, false)
+	reader := s.attach(context.Background(), 1)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range 200_000 {
+		must(t, s.append(context.Background(), engine.Chunk{Data: []byte("data:\n\n")}))
+		_, _, err := reader.next()
+		is.NoErr(err)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	is.True(int(after.HeapAlloc-before.HeapAlloc) < 2*limits.ReplayBytes)
+	runtime.KeepAlive(s)
+}
+
 func TestResumeFromDroppedChunkFails(t *testing.T) {
 	is := is.New(t)
 	limits := DefaultStreamLimits()
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -23,8 +23,11 @@
 	// must cover the data that can be lost in transit when a link breaks.
 	ReplayBytes int
 	// ClaimedBytes limits the size of the response of a claimed call. A larger
-	// response is not stored.
+	// response is not stored, and only its newest part is kept while no call reads it.
 	ClaimedBytes int
+	// UnreadClaimedBytes limits what is read of the response of a claimed call while no call reads it:
+	// a run whose response does not end would go on until the time limit of claimed calls.
+	UnreadClaimedBytes int
 	// FinishedBytes limits the total data size of the finished streams that can
 	// still be resumed.
 	FinishedBytes int
@@ -36,11 +39,12 @@
 // DefaultStreamLimits returns the default stream limits of an agent.
 func DefaultStreamLimits() StreamLimits {
 	return StreamLimits{
-		UnsentBytes:     256 << 10,
-		ReplayBytes:     512 << 10,
-		ClaimedBytes:    4 << 20,
-		FinishedBytes:   32 << 20,
-		FinishedStreams: 4096,
+		UnsentBytes:        256 << 10,
+		ReplayBytes:        512 << 10,
+		ClaimedBytes:       4 << 20,
+		UnreadClaimedBytes: 64 << 20,
+		FinishedBytes:      32 << 20,
+		FinishedStreams:    4096,
 	}
 }
 
@@ -58,12 +62,14 @@
 	// firstSequence is the sequence number of chunks[0], or of the next chunk if
 	// chunks is empty.
 	firstSequence uint64
-	// bufferedBytes is the size of the data in chunks.
+	// bufferedBytes is the size of chunks.
 	bufferedBytes int
 	// lastSent is the sequence number of the last chunk that was given to a reader.
 	lastSent uint64
-	// unsentBytes is the size of the data in the chunks after lastSent.
+	// unsentBytes is the size of the chunks after lastSent.
 	unsentBytes int
+	// unreadBytes is the size of what has come for a claimed call while nobody read it.
+	unreadBytes int
 	// complete is set while no chunk has been dropped from the buffer.
 	complete bool
 
@@ -120,25 +126,49 @@
 	s.wake()
 }
 
+// minChunkSize is the size in bytes at which a chunk counts at least. Beside its data it takes about 100 bytes of
+// memory, so streams of very short events would take many times their limit.
+const minChunkSize = 96
+
+// sizeOf returns the size at which a chunk counts.
+func sizeOf(data []byte) int { return max(len(data), minChunkSize) }
+
+// errClaimedTooLong is returned for the response of a claimed call that nobody reads and that does not end.
+var errClaimedTooLong = errors.New("nobody reads the response, which does not end")
+
 // append numbers and stores a chunk. It blocks while the unsent data is at the
-// limit. It does not block for a claimed call, which must finish without a reader.
+// limit. For a claimed call, which must finish without a reader, it blocks only if there is
+// one: without, the oldest chunks are dropped, and the response is not stored.
 func (s *stream) append(ctx context.Context, c engine.Chunk) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for !s.claimed && s.unsentBytes >= s.table.limits.UnsentBytes {
+	for s.mustWait() {
 		if err := s.waitForSpace(ctx); err != nil {
 			return err
 		}
 	}
+	if s.claimed && s.reader == nil {
+		if s.unreadBytes += len(c.Data); s.unreadBytes > s.table.limits.UnreadClaimedBytes {
+			return fault.New(fault.BodyTooLarge, fault.Ran, "%w", errClaimedTooLong)
+		}
+	}
 	s.chunks = append(s.chunks, &wire.Chunk{Sequence: s.firstSequence + uint64(len(s.chunks)), Data: c.Data, Tokens: c.CumulativeTokens})
-	s.bufferedBytes += len(c.Data)
-	s.unsentBytes += len(c.Data)
+	s.bufferedBytes += sizeOf(c.Data)
+	s.unsentBytes += sizeOf(c.Data)
 	s.lastProgress = time.Now()
 	s.trim()
 	s.wake()
 	return nil
 }
 
+// mustWait reports whether a further chunk must wait until a reader has taken others. The caller must hold s.mu.
+func (s *stream) mustWait() bool {
+	if s.claimed {
+		return s.reader != nil && s.unsentBytes >= s.table.limits.ClaimedBytes
+	}
+	return s.unsentBytes >= s.table.limits.UnsentBytes
+}
+
 func (s *stream) waitForSpace(ctx context.Context) error {
 	s.mu.Unlock()
 	defer s.mu.Lock()
@@ -151,15 +181,19 @@
 }
 
 // trim drops the oldest chunks while the buffer is over its limit. It keeps chunks
-// that were not sent yet.
+// that were not sent yet, unless the call is claimed and nobody reads the response.
 func (s *stream) trim() {
 	limit := s.table.limits.ReplayBytes
 	if s.claimed {
 		limit = s.table.limits.ClaimedBytes
 	}
 	dropped := 0
-	for s.bufferedBytes > limit && dropped < len(s.chunks) && s.chunks[dropped].Sequence <= s.lastSent {
-		s.bufferedBytes -= len(s.chunks[dropped].Data)
+	unread := s.claimed && s.reader == nil
+	for s.bufferedBytes > limit && dropped < len(s.chunks) && (unread || s.chunks[dropped].Sequence <= s.lastSent) {
+		if s.chunks[dropped].Sequence > s.lastSent {
+			s.unsentBytes -= sizeOf(s.chunks[dropped].Data)
+		}
+		s.bufferedBytes -= sizeOf(s.chunks[dropped].Data)
 		s.chunks[dropped] = nil
 		dropped++
 	}
@@ -247,7 +281,7 @@
 	s.unsentBytes = 0
 	for _, c := range s.chunks {
 		if c.Sequence > lastSent {
-			s.unsentBytes += len(c.Data)
+			s.unsentBytes += sizeOf(c.Data)
 		}
 	}
 	s.signalSpace()
--- a/internal/agent/stream_reader.go
+++ b/internal/agent/stream_reader.go
@@ -137,8 +137,8 @@
 	s := sr.stream
 	sr.nextSequence++
 	s.lastSent = c.Sequence
-	s.unsentBytes -= len(c.Data)
-	if s.unsentBytes < s.table.limits.UnsentBytes {
+	s.unsentBytes -= sizeOf(c.Data)
+	if !s.mustWait() {
 		s.signalSpace()
 	}
 	return &wire.Response{Body: &wire.Response_Chunk{Chunk: c}}
@@ -156,6 +156,7 @@
 		return
 	}
 	s.reader = nil
+	s.signalSpace() // a claimed call goes on without a reader
 	if errors.Is(context.Cause(sr.ctx), link.ErrCallClosed) && !s.claimed {
 		s.cancelRun(errCallClosed)
 		return
