agent: failed health checks don't cut streams that nobody can go on with

With agents, a stream that had begun broke off with backend_timeout once its engine had failed its health checks and sent nothing for StallTimeout, also if no other engine could go on with it: streams of plain services, and of requests that may run once. A failed check is no proof against the connection of the run; an engine that stood still for 2 s goes on.

Such a stream is left to its deadline or the idle time-out of the engine client once a part of it was sent. Others end as before, so that the router sends them elsewhere.

--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -187,6 +187,23 @@
 	is.Equal(streamText(t, r.chunks), expectedOutput(t, d, len(r.chunks)))
 }
 
+// Guards against streams that have begun and are cut since health checks fail, though nobody else can go on with
+// them and their engine goes on after a while.
+func TestBegunStreamThatNobodyCanGoOnWithIsKept(t *testing.T) {
+	is := is.New(t)
+	h := newHarness(t, slowEngine, func(c *Config) { c.Timings.StallTimeout = 100 * time.Millisecond })
+	d := chat("r1", "the clamp report", 40, true)
+	d.Idempotent = false
+	r := &reply{}
+	s := h.open(t, dispatchRequest(d), r, 3)
+	defer s.Close()
+	is.True(h.standin.Inject(standin.Fault{Kind: standin.FaultFreeze, DurationMS: 2500})) // two health checks time out
+	eventually(t, func() bool { return !h.agent.Status().Up })
+	is.NoErr(r.read(s, allChunks))
+	checkSequence(t, r.chunks, 1)
+	is.Equal(streamText(t, r.chunks), expectedOutput(t, d, len(r.chunks)))
+}
+
 func TestEngineErrorResponseIsForwarded(t *testing.T) {
 	is := is.New(t)
 	h := newHarness(t, standin.Options{}, nil)
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -77,6 +77,9 @@
 		return refusal
 	}
 	s := a.streams.add(ticket.Key, ticket.Claimed)
+	if d.Stream && (d.Service != "" || !d.Idempotent) {
+		s.bind()
+	}
 	runCtx, cancel := a.runContext(ctx, ticket)
 	s.setCancel(cancel)
 	a.startRun(func() {
--- a/internal/agent/stream.go
+++ b/internal/agent/stream.go
@@ -86,6 +86,8 @@
 	expires time.Time
 	// lastProgress is when the backend server last sent something.
 	lastProgress time.Time
+	// bound is set if no other backend server can go on with the stream once a part of it was sent.
+	bound bool
 }
 
 func newStream(t *streamTable, key gate.StreamKey, claimed bool) *stream {
@@ -230,12 +232,20 @@
 	s.grace = time.AfterFunc(s.table.grace, func() { s.cancelRun(errNoRouter) })
 }
 
+// bind records that no other backend server can go on with the stream once a part of it was sent.
+func (s *stream) bind() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bound = true
+}
+
 // cancelIfStalled cancels the run if the backend server has sent nothing since the
-// given time.
+// given time. Failed health checks are no proof against the connection of the run, so a stream
+// that has begun and that nobody else can go on with is left to its deadline.
 func (s *stream) cancelIfStalled(since time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.ended && !s.claimed && s.lastProgress.Before(since) {
+	if !s.ended && !s.claimed && !(s.bound && s.lastSent > 0) && s.lastProgress.Before(since) {
 		s.cancelRun(engine.ErrStalled)
 	}
 }
