forward: no stream goes on at a server that may have started anew

Cause: the software of a server was taken from the router's view, however old that was. A server that starts anew under its name with other software answers under the same name, so that a router whose view does not have the new start (its heartbeat is late, control is out of reach, the router was cut off, stood still or has just started) took it for its earlier run: it sent it streams of the earlier version, and moved streams between it and other servers.

Fix, one rule for breaks and for gaps in the view (runs.go): a server's run is doubtful from any sign that another process may have taken its place: a connection broke, was refused or is not answered, the server is suspected, or the view was not followed. Proof that is newer than the sign ends the doubt: a later run, a heartbeat of the same run that was sent later (known from the server being ready in a view confirmed HeartbeatBound later under the same leader), or a connection from before the sign. No stream goes on at a doubtful server, also if the doubt comes while it answers; new streams there are recorded, and moved, once it is known which run began them. A start is no longer contradicted by a later run once a heartbeat has proved it; it is compared for 15 s at most (before: 10 s), as proofs may take 8 s.

TestStartThatTheViewContradictsIsNotRecorded waits longer for a start in a gap of the view, which is now recorded after a later heartbeat. Fixtures of forward follow the view since before the servers join. backendEnded returns whether a connection was held, which its test checks too.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -30,6 +30,7 @@
 		return c.Forbidden(fault.From(err))
 	}
 	if c.softwareDoubtful() {
+		runDoubts.Add("not_moved", 1)
 		return Step{Abort: true}
 	}
 	d, err := c.selectBackend()
@@ -54,6 +55,7 @@
 		return Step{Err: fault.From(err)}
 	}
 	c.RecordAttempt()
+	c.attemptedAt = now
 	c.backend = d.Backend.GetName()
 	c.triedBackends = append(c.triedBackends, c.backend)
 	c.recordKnownCrashes()
@@ -98,6 +100,7 @@
 	if fail.outcome == Unsent && isTimeout(fail.err) {
 		go c.f.silence.check(d.Backend, nil, time.Time{}) // other attempts may wait there
 	}
+	c.recordBreak(d.Backend, fail)
 	if fail.outcome == InvalidResponse {
 		c.checkCrash(d, fail.err)
 		now = time.Now()
@@ -114,8 +117,10 @@
 // watch starts to watch an attempt.
 func (c *forwardedCall) watch(d *routing.Decision, cancel context.CancelCauseFunc) {
 	c.watched = &watchedAttempt{backend: d.Backend, request: c.call.ID, cancel: cancel,
-		takeRetry: func(next *routing.Request) bool { return c.f.selector.takeRetry(c.service, c.call.Model, next) },
-		watch:     attemptWatch{deadline: c.Deadline, predicted: d.Wait + d.Prefill, stream: c.route.GetStream()}}
+		takeRetry: func(next *routing.Request) bool {
+			return !c.softwareDoubtful() && c.f.selector.takeRetry(c.service, c.call.Model, next)
+		},
+		watch: attemptWatch{deadline: c.Deadline, predicted: d.Wait + d.Prefill, stream: c.route.GetStream()}}
 	if c.route.GetStream() {
 		c.watched.pauses = c.f.silence.pauses.of(c.route.GetName())
 		c.allowEndOfStalled()
@@ -136,8 +141,12 @@
 
 // routingRequest returns the request for the backend server of the next attempt.
 func (c *forwardedCall) routingRequest() *routing.Request {
+	excluded := c.triedBackends
+	if c.bound {
+		excluded = append(slices.Clone(excluded), c.f.runs.doubtful()...)
+	}
 	return &routing.Request{
-		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: c.triedBackends, Urgency: urgencyOf(c.route, c.account),
+		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: excluded, Urgency: urgencyOf(c.route, c.account),
 		SoftwareVersion: c.softwareVersion, BoundToSoftware: c.bound,
 	}
 }
@@ -189,6 +198,9 @@
 	if fail != nil {
 		return fail, Step{}
 	}
+	if c.f.runs.survived(d.Backend, resp.conn.lastUsed) { // the same connection
+		c.f.compareStarts()
+	}
 	headAt := time.Now()
 	c.watched.wait(headAt)
 	attemptLatency.head.Record(headAt, headAt.Sub(now))
@@ -265,6 +277,7 @@
 	body, more, err := r.bufferBody()
 	if err != nil && outcome == Failed {
 		r.close(false)
+		c.recordBreak(d.Backend, &failure{InvalidResponse, err})
 		c.f.selector.failed(d, c.failureKind(InvalidResponse))
 		c.checkCrash(d, err)
 		c.outcomes = append(c.outcomes, fmt.Sprintf("%s:%s", c.backend, InvalidResponse))
@@ -310,6 +323,7 @@
 	case rest.err != nil && c.ctx.Err() != nil:
 		c.f.selector.failed(d, faultKinds[TimedOut])
 	case rest.err != nil:
+		c.recordBreak(d.Backend, &failure{InvalidResponse, rest.err})
 		c.f.selector.failed(d, faultKinds[InvalidResponse])
 		c.checkCrash(d, rest.err)
 	case err != nil:
@@ -357,10 +371,20 @@
 	started, delivered := false, false
 	marked := events.skipMark()
 	c.position.beginAttempt(c.headerWritten)
+	joining := c.bound // until the caller gets something that another server has to have begun
 	var gaps routing.GapSampler
 	defer func() { c.f.selector.eventGap(d, gaps.End()) }()
 	for {
 		event, id, err := events.next()
+		if err == nil || errors.Is(err, io.EOF) {
+			if joining {
+				if err := c.mayJoin(d.Backend); err != nil {
+					r.close(false)
+					return &failure{InvalidResponse, err}, Step{}
+				}
+			}
+			joining = false
+		}
 		if errors.Is(err, io.EOF) && (started || c.endsStream(r)) {
 			if !c.headerWritten {
 				c.writeHeader(r, -1)
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -28,6 +28,9 @@
 	// connections, and maxEndChecks limits the connections opened to find out.
 	endSettleTime = 5 * time.Millisecond
 	maxEndChecks  = 3
+	// minRestartTime is the time in which no server ends and another process listens in its place:
+	// supervisors wait at least as long before they start one anew.
+	minRestartTime = 100 * time.Millisecond
 	// crashCountWait limits how long a call waits until its crash is counted. It covers a
 	// commit of the control replicas while they have a leader.
 	crashCountWait = 100 * time.Millisecond
@@ -206,7 +209,17 @@
 	if c.answeredAt.IsZero() || time.Since(c.answeredAt) < answerProofTime {
 		reports = append(reports, c.f.crashes.reporter.PartReports(d.Backend.GetName(), d.Backend.GetEngineIncarnation(), c.sharedParts(), c.knownCrashes)...)
 	}
-	if !c.f.backendEnded(c.ctx, d.Backend.GetAddress(), endSettleTime) {
+	aliveAt := c.watched.heardAt()
+	if aliveAt.Before(c.attemptedAt) && c.watched.isNewConn() {
+		aliveAt = c.attemptedAt // it was opened since
+	}
+	ended, held := c.f.backendEnded(c.ctx, d.Backend.GetAddress(), endSettleTime)
+	if held && time.Since(aliveAt) < minRestartTime {
+		c.f.runs.survived(d.Backend, aliveAt)
+	}
+	c.f.proveByIdle(d.Backend)
+	c.f.compareStarts() // streams that have begun meanwhile
+	if !ended {
 		c.f.crashes.addBrokenOff(time.Now(), d.Backend.GetAddress(), reports)
 		return
 	}
@@ -233,25 +246,31 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// isNewConn reports whether the attempt is the first call on its connection.
+func (a *watchedAttempt) isNewConn() bool {
+	c := a.conn.Load()
+	return c != nil && c.lastUsed.IsZero()
+}
+
 // backendEnded reports whether nothing listens at the address of a backend server any more.
 // One that broke off a response or reset a connection still listens. The connection is kept
 // for reuse, unless it breaks within the time settle: a process that ends may close its
-// connections before its listener.
-func (f *Forwarder) backendEnded(ctx context.Context, address string, settle time.Duration) bool {
+// connections before its listener. held is set if a connection was kept.
+func (f *Forwarder) backendEnded(ctx context.Context, address string, settle time.Duration) (ended, held bool) {
 	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout+maxEndChecks*settle)
 	defer cancel()
 	for range maxEndChecks {
 		conn, err := f.connPool.dial(ctx, address)
 		if err != nil {
-			return errors.Is(err, syscall.ECONNREFUSED)
+			return errors.Is(err, syscall.ECONNREFUSED), false
 		}
 		if conn.staysOpen(settle) {
 			f.connPool.put(conn, idleTimeout)
-			return false
+			return false, true
 		}
 		_ = conn.Close() // it is broken already
 	}
-	return false
+	return false, false
 }
 
 // quarantineError returns the error of a call that is refused for the given reason.
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -218,11 +218,13 @@
 		}
 	}()
 	r := newFixture(t, nil)
-	is.True(r.f.backendEnded(context.Background(), ln.Addr().String(), time.Second))
+	ended, held := r.f.backendEnded(context.Background(), ln.Addr().String(), time.Second)
+	is.True(ended && !held)
 	living, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer living.Close()
-	is.True(!r.f.backendEnded(context.Background(), living.Addr().String(), time.Millisecond))
+	ended, held = r.f.backendEnded(context.Background(), living.Addr().String(), time.Millisecond)
+	is.True(!ended && held)
 }
 
 // Ends of backend servers whose address another one takes at once were not counted: there
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -121,6 +121,7 @@
 	silence      *silenceGuard
 	quotas       *guard.Guard
 	starts       *startTracker
+	runs         *runTracker
 	// invalidNotices limits log lines; see recordNotices.
 	invalidNotices invalidNoticeLimiter
 }
@@ -137,7 +138,7 @@
 	}
 	pool := newConnPool()
 	return &Forwarder{opts: opts, dialect: opts.Dialect, connPool: pool, selector: selector, storeMonitor: newStoreMonitor(), shutdown: newShutdownGuard(),
-		silence: newSilenceGuard(opts.CheckDialer, pool, opts.Unreachable), starts: newStartTracker(opts.Streams),
+		silence: newSilenceGuard(opts.CheckDialer, pool, opts.Unreachable), starts: newStartTracker(opts.Streams), runs: newRunTracker(opts.Views, opts.Freshness),
 		permits: newPermitClient(opts.Permits, strconv.FormatUint(opts.Seed, 36), selector, quotas), quotas: quotas, crashes: newCrashGuard(crashreport.New(opts.Control, opts.Views))}
 }
 
@@ -146,6 +147,7 @@
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
 	go f.permits.run(ctx)
+	go f.followRuns(ctx)
 	viewLogger := viewLogger{source: f.opts.SourceAddress}
 	for {
 		changed := f.opts.Views.Changed()
@@ -165,7 +167,7 @@
 
 // applyView applies a view, also one that has not changed.
 func (f *Forwarder) applyView(ctx context.Context, s *view.Snapshot, logger *viewLogger) {
-	f.starts.compare(time.Now(), f.opts.Views, f.opts.Freshness)
+	f.updateRuns()
 	f.selector.setView(s)
 	f.storeMonitor.watchStores(ctx, s)
 	logger.setView(s)
@@ -268,14 +270,19 @@
 	header http.Header
 	// triedBackends are the names of the backend servers tried.
 	triedBackends []string
-	// backend is the name of the backend server tried last.
-	backend string
+	// backend is the name of the backend server tried last, and attemptedAt the time before that attempt.
+	backend     string
+	attemptedAt time.Time
 	// bound is set once backend servers of one version of the software only, softwareVersion,
 	// can go on with the stream.
 	bound           bool
 	softwareVersion string
 	// startedBy is the backend server that sent the first event of this call; nil before it.
 	startedBy *wire.Backend
+	// startedAt is the time of that event, by the steady clock, and startKnown is set if startedBy was
+	// then known to be the run that the view told.
+	startedAt  time.Time
+	startKnown bool
 	// recordedAt is the time at which the software of the stream was recorded last.
 	recordedAt time.Time
 	// position is how far the caller has got in the stream.
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -164,6 +164,8 @@
 		Dialect: testDialect{}, Budget: DefaultRetryBudgetLimits(), Control: r.control}
 	change(&options)
 	r.f = New(options)
+	r.f.runs.freshness = func() view.Freshness { return *r.freshness.Load() } // leaves onFreshness to the calls
+	r.f.runs.observe()                                                        // the router has followed the view since before the servers joined
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	for i, address := range backends {
--- a/internal/forward/starts.go
+++ b/internal/forward/starts.go
@@ -11,11 +11,12 @@
 )
 
 const (
-	// startSettleTime is how long the start of a stream is compared with later views. It covers
+	// startSettleTime is how long the start of a stream is compared with later views at most. It covers
 	// the heartbeat of a server that has just started: a late one, a lost one, and an election
-	// of the leader (3.4 s) before it is in the view.
-	startSettleTime = 10 * time.Second
-	// maxStarts limits the starts that are kept: 800 a second, eight times as many as one
+	// of the leader (3.4 s) before it is in the view. It also covers the longest
+	// membership.LeaseConfig.HeartbeatBound (8 s).
+	startSettleTime = 15 * time.Second
+	// maxStarts limits the starts that are kept: 540 a second, many times as many as one
 	// router serves at the size to grow to. Further ones are recorded once and not compared.
 	maxStarts = 8192
 )
@@ -23,11 +24,14 @@
 // streamStarts counts what happens to the starts of streams, by kind.
 var streamStarts = expvar.NewMap("stream_starts")
 
+// openStarts is the number of starts that later views may contradict.
+var openStarts = expvar.NewInt("stream_starts_open")
+
 // streamStart is a stream that a backend server has begun.
 type streamStart struct {
 	key streamrecord.Key
 	at  time.Time
-	// recorded is set once the start is recorded.
+	// recorded is set if the start was recorded at that time, as the server's run was known.
 	recorded bool
 }
 
@@ -39,9 +43,9 @@
 
 // startTracker records which software began streams. The view says which software a server
 // has, but a server may have started anew under its name with other software, of which the view
-// does not tell yet: responses name the server only. A start is therefore recorded once a view
-// that was confirmed at that time agrees, and contradicted if a later view shows another run of the
-// server. It is safe for concurrent use.
+// does not tell yet: responses name the server only. A start is therefore recorded once the server's run
+// at that time is known (see runKnowledge), and contradicted if a later view shows another run of the
+// server before a heartbeat sent after the start has proved that it was that one. It is safe for concurrent use.
 type startTracker struct {
 	directory StreamDirectory
 
@@ -62,15 +66,15 @@
 	return now != nil && (now.GetAgentIncarnation() != b.GetAgentIncarnation() || now.GetSoftwareVersion() != b.GetSoftwareVersion())
 }
 
-// add records that a backend server began a stream. fresh must have been read before s.
-func (t *startTracker) add(now time.Time, key streamrecord.Key, b *wire.Backend, s *view.Snapshot, fresh view.Freshness) {
+// add records that a backend server began a stream. known is set if its run is known.
+func (t *startTracker) add(now time.Time, key streamrecord.Key, b *wire.Backend, s *view.Snapshot, known bool) {
 	if isOtherRun(s, b) {
 		t.contradict(key)
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	start := streamStart{key: key, at: now, recorded: fresh.Confirmed}
+	start := streamStart{key: key, at: now, recorded: known}
 	if start.recorded {
 		t.record(key, b)
 	} else {
@@ -89,10 +93,12 @@
 		server.starts = append(server.starts, start)
 		t.count++
 	}
+	openStarts.Set(int64(t.count))
 }
 
-// compare compares the starts with the newest view.
-func (t *startTracker) compare(now time.Time, views *view.Store, freshness func() view.Freshness) {
+// compare compares the starts with the newest view. runAt reports what is known of a server's run at a time;
+// see runKnowledge.
+func (t *startTracker) compare(now time.Time, views *view.Store, freshness func() view.Freshness, runAt func(*wire.Backend, time.Time) (known, proved bool)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if len(t.servers) == 0 {
@@ -105,20 +111,20 @@
 			t.drop(server, true)
 			continue
 		}
-		confirmedAt := now.Add(-fresh.Age)
-		expired := 0
+		done := 0
 		for i := range server.starts {
 			start := &server.starts[i]
-			if !start.recorded && fresh.Confirmed && confirmedAt.After(start.at) {
+			known, proved := runAt(server.backend, start.at)
+			if !start.recorded && fresh.Confirmed && known {
 				start.recorded = true
 				t.record(start.key, server.backend)
 			}
-			if now.Sub(start.at) >= startSettleTime {
-				expired = i + 1
+			if start.recorded && proved || now.Sub(start.at) >= startSettleTime {
+				done = i + 1 // the starts are sorted by time
 			}
 		}
-		server.starts = append([]streamStart(nil), server.starts[expired:]...)
-		t.count -= expired
+		server.starts = append([]streamStart(nil), server.starts[done:]...)
+		t.count -= done
 		if len(server.starts) == 0 {
 			t.drop(server, false)
 		}
@@ -133,6 +139,7 @@
 		}
 	}
 	t.count -= len(server.starts)
+	openStarts.Set(int64(t.count))
 	delete(t.servers, server.backend.GetName())
 }
 
--- a/internal/forward/streams.go
+++ b/internal/forward/streams.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"time"
 
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/routing"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/streamrecord"
+	"parsleypulley/internal/wire"
 )
 
 // StreamDirectory keeps the knowledge which software began a stream, for all routers.
@@ -32,9 +36,9 @@
 // the software that sends it, and records that.
 func (c *forwardedCall) bindStarted(d *routing.Decision) {
 	c.bound, c.softwareVersion, c.startedBy, c.recordedAt = true, d.Backend.GetSoftwareVersion(), d.Backend, time.Now()
+	c.startedAt, c.startKnown = steady.Now(), c.f.runs.isKnown(d.Backend)
 	if c.f.opts.Streams != nil && c.route.GetResumable() {
-		fresh := c.f.opts.Freshness()
-		c.f.starts.add(time.Now(), c.streamKey(), d.Backend, c.f.opts.Views.Load(), fresh)
+		c.f.starts.add(c.startedAt, c.streamKey(), d.Backend, c.f.opts.Views.Load(), c.startKnown)
 	}
 }
 
@@ -54,10 +58,42 @@
 	}
 }
 
-// softwareDoubtful reports whether the server that sent the stream so far has started anew under
-// its name: which of its starts sent the events is not known.
+// softwareDoubtful reports whether it is not known which run of its server sent the stream so far: that
+// was doubtful at its first event and is not known since, or the server has started anew under its name.
 func (c *forwardedCall) softwareDoubtful() bool {
-	return c.startedBy != nil && isOtherRun(c.f.opts.Views.Load(), c.startedBy)
+	if c.startedBy == nil {
+		return false
+	}
+	if c.startKnown {
+		return isOtherRun(c.f.opts.Views.Load(), c.startedBy)
+	}
+	known, _ := c.f.runs.runAt(c.startedBy, c.startedAt)
+	return !known
+}
+
+// errRunDoubtful is returned for the response of a server that is to go on with a stream and may have
+// started anew, with other software, since the view that this router has.
+var errRunDoubtful = errors.New("it is not known which run of the backend server goes on with the stream")
+
+// mayJoin returns an error unless the response of a backend server may go on with the stream.
+func (c *forwardedCall) mayJoin(b *wire.Backend) error {
+	if c.f.runs.isKnown(b) {
+		return nil
+	}
+	runDoubts.Add("not_joined", 1)
+	return errRunDoubtful
+}
+
+// recordBreak records whether an attempt failed in a way that a server which has ended causes too: its
+// connection broke, or none could be opened.
+func (c *forwardedCall) recordBreak(b *wire.Backend, fail *failure) {
+	var network *net.OpError
+	switch {
+	case errors.Is(context.Cause(c.ctx), errUnreachable), isTimeout(fail.err) && fail.outcome == Unsent && c.ctx.Err() == nil:
+		c.f.runs.sign(b, signUnreachable)
+	case connectionEnded(fail.err), fail.outcome == Unsent && errors.As(fail.err, &network) && c.ctx.Err() == nil:
+		c.f.runs.sign(b, signBroken)
+	}
 }
 
 // bindResumed binds a call that goes on with a stream to the software that began it. It selects
--- a/internal/forward/streams_test.go
+++ b/internal/forward/streams_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 
+	"parsleypulley/internal/membership"
 	"parsleypulley/internal/streamrecord"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
@@ -216,7 +217,8 @@
 			}
 			key := streamrecord.KeyOf("indus", "c1")
 			directory := f.f.opts.Streams
-			for end := time.Now().Add(3 * time.Second); directory.Find(context.Background(), key) != test.want && time.Now().Before(end); {
+			// Times: a gap in the view ends, a heartbeat sent after it is in the view, and the router looks.
+			for end := time.Now().Add(membership.DefaultLeaseConfig().HeartbeatBound(1) + 3*time.Second); directory.Find(context.Background(), key) != test.want && time.Now().Before(end); {
 				time.Sleep(10 * time.Millisecond)
 			}
 			time.Sleep(50 * time.Millisecond)
@@ -253,14 +255,15 @@
 	tracker := newStartTracker(newFakeDirectory())
 	now := time.Unix(1000, 0)
 	fresh := func() view.Freshness { return view.Freshness{Confirmed: true} }
+	never := func(*wire.Backend, time.Time) (known, proved bool) { return false, false }
 	for i := range 2 * maxStarts {
 		b := &wire.Backend{Name: fmt.Sprint("b", i%100), Service: "lab", SoftwareVersion: "v1"}
-		tracker.add(now, streamrecord.Key(i), b, log.Snapshot(), fresh())
+		tracker.add(now, streamrecord.Key(i), b, log.Snapshot(), true)
 	}
 	is.Equal(tracker.count, maxStarts)
-	tracker.compare(now.Add(startSettleTime/2), log.Store(), fresh)
+	tracker.compare(now.Add(startSettleTime/2), log.Store(), fresh, never)
 	is.Equal(tracker.count, maxStarts)
-	tracker.compare(now.Add(startSettleTime), log.Store(), fresh)
+	tracker.compare(now.Add(startSettleTime), log.Store(), fresh, never)
 	is.Equal(tracker.count, 0)
 	is.Equal(len(tracker.servers), 0)
 }
--- a/internal/membership/lease_config.go
+++ b/internal/membership/lease_config.go
@@ -52,3 +52,22 @@
 		MaxProposalsPerTick:      256,
 	}
 }
+
+const (
+	// lateHeartbeat covers the way of a heartbeat to the leader, and the commit of a suspicion.
+	lateHeartbeat = 500 * time.Millisecond
+	// MaxLeaderPause is how long the leader may stand still, which extends all leases, without effect on
+	// HeartbeatBound. It is longer than the time between two confirmations of a view.
+	MaxLeaderPause = time.Second
+)
+
+// HeartbeatBound returns how long ago the last heartbeat of a member was sent at most, if it is ready in
+// a view of a leader that has led for as long, with no pause longer than MaxLeaderPause.
+func (c LeaseConfig) HeartbeatBound(members int) time.Duration {
+	interval := c.interval(members)
+	return time.Duration(c.SuspectIntervals)*interval + interval/scansPerInterval + lateHeartbeat + MaxLeaderPause
+}
+
+func (c LeaseConfig) interval(members int) time.Duration {
+	return min(max(time.Duration(members)*c.IntervalPerMember, c.MinInterval), c.MaxInterval)
+}
--- a/internal/membership/leases.go
+++ b/internal/membership/leases.go
@@ -62,8 +62,7 @@
 
 // Interval returns the time between heartbeats for a number of members.
 func (l *Leases) Interval(members int) time.Duration {
-	interval := time.Duration(members) * l.config.IntervalPerMember
-	return min(max(interval, l.config.MinInterval), l.config.MaxInterval)
+	return l.config.interval(members)
 }
 
 // suspectAfter returns the time without a heartbeat after which a member is suspected.
