forward: one lost probe doesn't cut a response that has begun

A response that pauses for over a second broke off 2 s after its last packet if one of the kernel's keep-alive probes, or the answer to one, was lost: with TCP_USER_TIMEOUT the kernel ends a connection after one probe that is not answered and not after the two that are configured.

TCP_USER_TIMEOUT is removed while a caller receives the response as it arrives, and set again before the connection is reused. Two probes, a second apart, must go unanswered then. The price: a response that has begun ends 3 to 4 s after the last packet of a machine that is gone, and not after 2 s. The watch still moves those that can go on elsewhere within 0.65 s.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -348,6 +348,7 @@
 		r.close(false)
 		return &failure{InvalidResponse, errStopEnds}
 	}
+	_ = r.conn.beginDelivery() // fails only on a closed connection
 	return nil
 }
 
@@ -374,6 +375,9 @@
 	started, delivered := false, false
 	marked := events.skipMark()
 	c.position.beginAttempt(c.headerWritten)
+	if c.headerWritten {
+		_ = r.conn.beginDelivery() // fails only on a closed connection
+	}
 	var gaps routing.GapSampler
 	defer func() { c.f.selector.eventGap(d, gaps.End()) }()
 	for {
--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -32,13 +32,14 @@
 	// userTimeout is the value of TCP_USER_TIMEOUT: sent bytes that stay
 	// unacknowledged for this time end the connection. It detects peers that are
 	// cut off without a reset. Bytes behind a closed window count too, so it does not hold on
-	// connections that have carried a long body; see acceptClosedWindow.
+	// connections that have carried a long body; see acceptClosedWindow and beginDelivery.
 	userTimeout = 900 * time.Millisecond
 	// keepAliveIdle is the idle time before the first TCP keep-alive probe on a
 	// connection that waits for a response, and keepAliveInterval the time
-	// between two probes.
+	// between two probes. After keepAliveProbes without an answer the connection ends.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
+	keepAliveProbes   = 2
 	// idleTimeout is how long an idle connection is kept for reuse if the backend
 	// server does not state its own timeout. Otherwise it is kept for the stated
 	// timeout less idleMargin, so that it is not reused while the backend server
@@ -101,7 +102,7 @@
 // unreachable.
 func newDialer() net.Dialer {
 	return net.Dialer{Timeout: dialTimeout, Control: controlSocket,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: 2}}
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveProbes}}
 }
 
 // controlSocket sets TCP_USER_TIMEOUT on a socket.
@@ -118,11 +119,8 @@
 	return err
 }
 
-// acceptClosedWindow removes the TCP_USER_TIMEOUT of the connection. A backend server may read a long body
-// late, and meanwhile its kernel answers each probe with a closed window. TCP_USER_TIMEOUT ends such a
-// connection too, also if the backend server has begun its response. The attempt's watch still notices a
-// machine that does not answer.
-func (c *conn) acceptClosedWindow() error {
+// setUserTimeout sets TCP_USER_TIMEOUT on the connection; 0 stands for none.
+func (c *conn) setUserTimeout(timeout time.Duration) error {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil
@@ -131,7 +129,36 @@
 	if err != nil {
 		return err
 	}
-	return setUserTimeout(raw, 0)
+	return setUserTimeout(raw, timeout)
+}
+
+// acceptClosedWindow removes the TCP_USER_TIMEOUT of the connection for good. A backend server may read a long body
+// late, and meanwhile its kernel answers each probe with a closed window. TCP_USER_TIMEOUT ends such a
+// connection too, also if the backend server has begun its response. The attempt's watch still notices a
+// machine that does not answer.
+func (c *conn) acceptClosedWindow() error {
+	c.longBody = true
+	return c.setUserTimeout(0)
+}
+
+// beginDelivery records that the caller receives the response as it arrives. With TCP_USER_TIMEOUT the kernel
+// ends a connection after one probe that is not answered, and without it after two: one lost packet must not
+// cut a response.
+func (c *conn) beginDelivery() error {
+	if c.longBody || c.delivering {
+		return nil
+	}
+	c.delivering = true
+	return c.setUserTimeout(0)
+}
+
+// endDelivery prepares the connection for the next call.
+func (c *conn) endDelivery() error {
+	if !c.delivering {
+		return nil
+	}
+	c.delivering = false
+	return c.setUserTimeout(userTimeout)
 }
 
 // conn is a connection to a backend server. It carries one call at a time.
@@ -149,6 +176,9 @@
 	lastUsed time.Time
 	// calls holds the hashes of the IDs of all calls that were sent on the connection.
 	calls []uint64
+	// longBody is set once the connection has carried a long body, and delivering while a caller receives
+	// the response as it arrives. TCP_USER_TIMEOUT holds if neither is set.
+	longBody, delivering bool
 }
 
 // mayCarry reports whether a call may be sent on the connection: a late copy of the response to one with the
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -145,7 +145,7 @@
 		r.conn.Close()
 		return
 	}
-	if err := r.conn.setDeadline(time.Time{}); err != nil {
+	if err := errors.Join(r.conn.setDeadline(time.Time{}), r.conn.endDelivery()); err != nil {
 		r.conn.Close()
 		return
 	}
