--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -374,6 +374,7 @@
 		r.close(false)
 		return &failure{InvalidResponse, errStopEnds}
 	}
+	_ = r.conn.beginDelivery() // fails only on a closed connection
 	return nil
 }
 
@@ -402,6 +403,9 @@
 	marked := events.skipMark()
 	c.position.beginAttempt(c.headerWritten)
 	joining := c.bound // until the caller gets something that another server has to have begun
+	if c.headerWritten {
+		_ = r.conn.beginDelivery() // fails only on a closed connection
+	}
 	var gaps routing.GapSampler
 	defer func() { c.f.selector.eventGap(d, gaps.End()) }()
 	for {
