--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -263,8 +263,8 @@
 			return nil, step
 		}
 	}
-	hold := c.f.connPool.memory.hold(freePartMemory)
-	defer hold.release()
+	hold := c.f.connPool.memory.Hold(freePartMemory)
+	defer hold.Release()
 	body, more, err := r.bufferBody(hold)
 	if err != nil && outcome == Failed {
 		r.close(false)
@@ -303,7 +303,7 @@
 	c.allowEndOfStalled() // the caller has received a part
 	c.writeBody(body)
 	body = nil
-	hold.release()
+	hold.Release()
 	rest := &errorRecorder{Reader: r.body}
 	_, err = io.CopyBuffer(writerOnly{c.w}, rest, make([]byte, copyBuffer))
 	r.close(err == nil)
@@ -364,8 +364,8 @@
 // forwardStream forwards the events of a streaming response as they arrive. The
 // result is as for runAttempt.
 func (c *forwardedCall) forwardStream(d *routing.Decision, r *response) (*failure, Step) {
-	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer), hold: *c.f.connPool.memory.hold(freePartMemory)}
-	defer events.hold.release()
+	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer), hold: *c.f.connPool.memory.Hold(freePartMemory)}
+	defer events.hold.Release()
 	// started is set after the first event with data, and delivered after the first event of any kind.
 	started, delivered := false, false
 	marked := events.skipMark()
--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"parsleypulley/internal/membudget"
 )
 
 // Timeouts and limits of connections to backend servers.
@@ -89,7 +91,7 @@
 	dialer net.Dialer
 	sent   *sentCalls
 	// memory limits the parts of responses that are kept.
-	memory *memoryBudget
+	memory *membudget.Budget
 
 	mu sync.Mutex
 	// idle holds the idle connections by address, the last used one last.
@@ -144,7 +146,7 @@
 	r       *bufio.Reader
 	// head limits what is read for the head of a response.
 	head   *headLimiter
-	memory *memoryBudget
+	memory *membudget.Budget
 	// deadline is the time by which the current call must be complete.
 	deadline time.Time
 	// expires is the time from which the connection must not be reused.
@@ -265,7 +267,7 @@
 	left    int
 	// lines is the number of lines of the head read so far, and hold the memory for it.
 	lines int
-	hold  *memoryHold
+	hold  *membudget.Hold
 	// heardAt is when bytes arrived last, in nanoseconds since clockStart. Other goroutines
 	// may read it.
 	heardAt atomic.Int64
@@ -311,7 +313,7 @@
 	n, err := l.readRaw(p[:min(len(p), l.left)])
 	l.left -= n
 	l.lines += headLines(p[:n])
-	if l.hold != nil && !l.hold.cover(headCost(maxHeadBytes-l.left, l.lines)) {
+	if l.hold != nil && !l.hold.Cover(headCost(maxHeadBytes-l.left, l.lines)) {
 		responseMemoryFull.Add("head", 1)
 		return 0, errMemoryFull
 	}
@@ -349,7 +351,7 @@
 // discardRecorded does the same and returns all bytes that have arrived behind the head, also those that are
 // no part of the body. The caller must release the memory that they take.
 func (c *conn) discardRecorded(body io.Reader, timeout time.Duration) (behind *byteRecord, err error) {
-	behind = &byteRecord{hold: *c.memory.hold(freeHeadMemory)}
+	behind = &byteRecord{hold: *c.memory.Hold(freeHeadMemory)}
 	buffered, _ := c.r.Peek(c.r.Buffered())
 	behind.add(buffered)
 	c.head.record = behind
@@ -556,7 +558,7 @@
 		}
 		if resp.StatusCode >= http.StatusOK {
 			if c.head.hold != nil {
-				c.head.hold.shrink(headerCost(resp.Header)) // a part of the body may have counted as head
+				c.head.hold.Shrink(headerCost(resp.Header)) // a part of the body may have counted as head
 			}
 			return resp, nil
 		}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"errors"
 	"io"
+
+	"parsleypulley/internal/membudget"
 )
 
 // maxEventBytes limits the size of one event of a stream.
@@ -26,7 +28,7 @@
 	// buf holds the event being read.
 	buf []byte
 	// hold is the memory of buf.
-	hold memoryHold
+	hold membudget.Hold
 	// full is set if there was no memory for the event.
 	full bool
 	// err is the error that ended the stream. A body that is read once more may report a proper end.
@@ -64,7 +66,7 @@
 	e.buf = e.buf[:0]
 	if cap(e.buf) > freePartMemory { // streams with a long event now and then would keep its memory
 		e.buf = nil
-		e.hold.release()
+		e.hold.Release()
 	}
 	// lineStart is where the current line begins in buf, and bareReturn is set if the line before it
 	// ended with a carriage return only.
@@ -107,7 +109,7 @@
 func (e *eventReader) take(part []byte) {
 	if need := len(e.buf) + len(part); need > cap(e.buf) {
 		size := max(need, firstEventBuffer, min(2*cap(e.buf), maxEventBytes+readBuffer))
-		if !e.hold.cover(size) {
+		if !e.hold.Cover(size) {
 			responseMemoryFull.Add("event", 1)
 			e.full = true
 			return
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -5,10 +5,9 @@
 	"errors"
 	"expvar"
 	"io"
-	"math"
 	"net/http"
-	"runtime/debug"
-	"sync/atomic"
+
+	"parsleypulley/internal/membudget"
 )
 
 const (
@@ -30,67 +29,11 @@
 // errMemoryFull is returned when a part of a response would have to be kept and no common memory is left.
 var errMemoryFull = errors.New("the parts of other responses take all memory set aside for them")
 
-// memoryBudget limits the memory of the parts of all responses that are kept until more of them has come. Limits
-// on one response alone do not bound it: servers that send nearly as much, and then a byte now and then, hold it for
-// as many calls as there are. It is safe for concurrent use.
-type memoryBudget struct {
-	limit int64
-	taken atomic.Int64
-}
-
-// newMemoryBudget returns a budget that is a part of the Go runtime's memory limit.
-func newMemoryBudget() *memoryBudget {
-	limit := debug.SetMemoryLimit(-1)
-	if limit == math.MaxInt64 {
-		return &memoryBudget{limit: defaultResponseMemory}
-	}
-	return &memoryBudget{limit: int64(memoryShare * float64(limit))}
-}
-
-// take takes n bytes, and reports whether they were left.
-func (b *memoryBudget) take(n int64) bool {
-	if b.taken.Add(n) <= b.limit {
-		return true
-	}
-	b.taken.Add(-n)
-	return false
-}
-
-// hold returns a hold that covers free bytes without taking them.
-func (b *memoryBudget) hold(free int64) *memoryHold { return &memoryHold{budget: b, free: free} }
-
-// memoryHold is what one reader has taken of a budget. It is not safe for concurrent use. The zero value is
-// without a limit.
-type memoryHold struct {
-	budget *memoryBudget
-	// free is what needs not be taken, and taken what was.
-	free, taken int64
-}
-
-// cover takes so much that n bytes are covered, and reports whether it was left.
-func (h *memoryHold) cover(n int) bool {
-	more := int64(n) - h.free - h.taken
-	if h.budget == nil || more <= 0 {
-		return true
-	}
-	if !h.budget.take(more) {
-		return false
-	}
-	h.taken += more
-	return true
+// newMemoryBudget returns the budget for the parts of responses that are kept until more of them has come.
+func newMemoryBudget() *membudget.Budget {
+	return membudget.NewShare(memoryShare, defaultResponseMemory)
 }
 
-// shrink gives back what is more than n bytes need.
-func (h *memoryHold) shrink(n int) {
-	if less := h.taken - max(0, int64(n)-h.free); h.budget != nil && less > 0 {
-		h.budget.taken.Add(-less)
-		h.taken -= less
-	}
-}
-
-// release gives back all that was taken.
-func (h *memoryHold) release() { h.shrink(0) }
-
 // headCost returns the memory that the head of a response takes: its text is kept by the parser and once more when it
 // is forwarded.
 func headCost(size, lines int) int { return 2*size + headLineCost*lines }
@@ -130,13 +73,13 @@
 // byteRecord records bytes as they arrive.
 type byteRecord struct {
 	data []byte
-	hold memoryHold
+	hold membudget.Hold
 	// incomplete is set if there was no memory for all of them.
 	incomplete bool
 }
 
 func (r *byteRecord) add(p []byte) {
-	if r.incomplete || !r.hold.cover(2*(len(r.data)+len(p))) { // the record may grow to twice its size
+	if r.incomplete || !r.hold.Cover(2*(len(r.data)+len(p))) { // the record may grow to twice its size
 		if !r.incomplete {
 			responseMemoryFull.Add("refusal", 1)
 		}
@@ -148,7 +91,7 @@
 
 // bufferBody reads at most maxBufferedBody bytes of the body, and fewer if hold has no memory for them. more is set if
 // there may be more.
-func (r *response) bufferBody(hold *memoryHold) (body []byte, more bool, err error) {
+func (r *response) bufferBody(hold *membudget.Hold) (body []byte, more bool, err error) {
 	body = make([]byte, 0, freePartMemory)
 	for {
 		if len(body) == maxBufferedBody {
@@ -156,7 +99,7 @@
 		}
 		if len(body) == cap(body) {
 			size := min(2*cap(body), maxBufferedBody)
-			if !hold.cover(size) {
+			if !hold.Cover(size) {
 				responseMemoryFull.Add("body", 1)
 				return body, true, nil
 			}
--- a/internal/forward/memory_test.go
+++ b/internal/forward/memory_test.go
@@ -9,33 +9,13 @@
 	"testing/iotest"
 
 	"github.com/matryer/is"
-)
 
-// Guards against memory of responses that is not given back, or taken twice: the router would keep no long part of any
-// response any more.
-func TestMemoryHold(t *testing.T) {
-	is := is.New(t)
-	b := &memoryBudget{limit: 100}
-	first, second := b.hold(10), b.hold(0)
-	is.True(first.cover(10))
-	is.Equal(b.taken.Load(), int64(0)) // free
-	is.True(first.cover(70))
-	is.True(first.cover(50)) // covered already
-	is.Equal(b.taken.Load(), int64(60))
-	is.True(!second.cover(41))
-	is.Equal(b.taken.Load(), int64(60))
-	is.True(second.cover(40))
-	first.shrink(30)
-	is.Equal(b.taken.Load(), int64(60))
-	first.release()
-	first.release()
-	second.release()
-	is.Equal(b.taken.Load(), int64(0))
-}
+	"parsleypulley/internal/membudget"
+)
 
 // Guards against short responses that fail, and long ones that are kept, while other responses have all memory.
 func TestResponsesWithoutCommonMemory(t *testing.T) {
-	full := func() *memoryHold { return (&memoryBudget{}).hold(freePartMemory) }
+	full := func() *membudget.Hold { return membudget.New(0).Hold(freePartMemory) }
 	for name, size := range map[string]int{"empty": 0, "short": freePartMemory - 1, "long": freePartMemory + 1, "very long": 2 * maxBufferedBody} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -11,6 +11,7 @@
 	"net/url"
 	"time"
 
+	"parsleypulley/internal/membudget"
 	"parsleypulley/internal/responsescan"
 )
 
@@ -45,11 +46,11 @@
 	// a copy of the one to it.
 	repeated bool
 	// headHold is the memory that the head takes.
-	headHold *memoryHold
+	headHold *membudget.Hold
 }
 
 // release gives back the memory of the head. It must be called once the response was forwarded.
-func (r *response) release() { r.headHold.release() }
+func (r *response) release() { r.headHold.Release() }
 
 // failure describes an attempt that ended without a usable response.
 type failure struct {
@@ -84,7 +85,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	var info ResponseInfo
-	hold := f.connPool.memory.hold(freeHeadMemory)
+	hold := f.connPool.memory.Hold(freeHeadMemory)
 	c.head.hold = hold
 	resp, reqWrite, sent, err := c.roundTrip(ctx, req, len(body), func(resp *http.Response) bool {
 		info = f.dialect.ReadResponse(resp.StatusCode, resp.Header)
@@ -94,7 +95,7 @@
 	if err != nil {
 		stop()
 		c.Close()
-		hold.release()
+		hold.Release()
 		err = withCause(ctx, err)
 		switch {
 		case !sent:
@@ -175,7 +176,7 @@
 	contradicted := record.incomplete || responsescan.Contains(record.data, func(status int, header http.Header) bool {
 		return r.contradicts(r.dialect.ReadResponse(status, header))
 	})
-	record.hold.release()
+	record.hold.Release()
 	contradicted = contradicted || unread && r.isContradicted()
 	r.close(err == nil && !unread && !contradicted)
 	if contradicted {
--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -15,7 +15,7 @@
 // Limits on the contents of an announcement.
 const (
 	maxNameBytes    = 128
-	maxLoadedModels = 64
+	MaxLoadedModels = 64
 	maxAdapters     = 256
 )
 
@@ -114,8 +114,8 @@
 		return fmt.Sprintf("backend server %q: a name in its announcement has more than %d bytes", name, maxNameBytes)
 	case b.GetAgentIncarnation() == 0:
 		return fmt.Sprintf("backend server %q has no agent incarnation", name)
-	case len(b.GetModels()) > maxLoadedModels:
-		return fmt.Sprintf("backend server %q announces %d models, more than %d", name, len(b.GetModels()), maxLoadedModels)
+	case len(b.GetModels()) > MaxLoadedModels:
+		return fmt.Sprintf("backend server %q announces %d models, more than %d", name, len(b.GetModels()), MaxLoadedModels)
 	}
 	if problem := validateAddress(b); problem != "" {
 		return fmt.Sprintf("backend server %q: %s", name, problem)
