forward: a quarantine doesn't cut responses that have begun

Cause: the quarantine ends the attempts that wait for an answer, and an attempt counted as waiting until the first event with data, or for other responses until its end.

Evidence: TestQuarantineCutsNoBegunResponse; before, both cases ended with 'unexpected EOF'.

Fix: an attempt stops waiting in the moment in which its response begins. If the quarantine comes first, nothing of the response is passed on and the call is refused, as before.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -347,8 +347,10 @@
 
 // beginDelivery must be called before the caller receives the first part of a response whose rest has not
 // arrived yet. It returns a failure if the attempt is being ended, so that the rest would not follow: a caller
-// that has received nothing still gets another attempt or an error response.
+// that has received nothing still gets another attempt or an error response. A response that has begun is not
+// ended by a quarantine either, which holds for calls that wait.
 func (c *forwardedCall) beginDelivery(r *response) *failure {
+	c.f.crashes.end(c)
 	if !c.watched.beginDelivery() {
 		<-c.ctx.Done() // the guard is about to cancel it
 	}
--- a/internal/forward/crash_test.go
+++ b/internal/forward/crash_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +16,7 @@
 
 	"github.com/matryer/is"
 
+	"parsleypulley/internal/crashreport"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/quarantine"
 	"parsleypulley/internal/view"
@@ -350,6 +352,37 @@
 	is.Equal(waiting.Load(), int32(3))
 }
 
+// Guards against responses that have begun and are cut since a part of their prompt is quarantined: a long body, and
+// a stream of which only a comment has come.
+func TestQuarantineCutsNoBegunResponse(t *testing.T) {
+	long := strings.Repeat("x", maxBufferedBody+10)
+	for name, test := range map[string]struct {
+		stream              bool
+		header, begin, rest string
+		body                string
+	}{
+		"long body": {false, fmt.Sprintf("Content-Length: %d\r\n", len(long)+4), long, "rest", long + "rest"},
+		"comment":   {true, "Content-Type: text/event-stream\r\nConnection: close\r\n", ":c\n\n", eventsText(1, 2), ":c\n\n" + eventsText(1, 2)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			goOn := make(chan struct{})
+			r := newFixture(t, forwardRoute(func(r *wire.ForwardRoute) { r.Prompts, r.Stream = true, test.stream }), startBackend(t, func(c net.Conn, r *http.Request) {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCall: %s\r\nSigned: yes\r\n%s\r\n%s", r.Header.Get("Call"), test.header, test.begin)
+				<-goOn
+				fmt.Fprint(c, test.rest)
+			}))
+			time.AfterFunc(100*time.Millisecond, func() { r.appendEvent(partEvent("x", false)) })
+			time.AfterFunc(300*time.Millisecond+crashreport.PartConfirmTime, func() { close(goOn) })
+			status, body, _, err := r.call("Parts", "x,last")
+			is.NoErr(err)
+			is.Equal(status, 200)
+			is.True(body == test.body)
+		})
+	}
+}
+
 // What a served call had in its prompt did not end a backend server, whoever suspects it.
 func TestServedPartsAreCleared(t *testing.T) {
 	is := is.New(t)
