consensus: a cluster that forms is formed once fewer voters are needed

What operators see: a new cluster that is started with more declared losses than its VMs can bear (three VMs, two losses) takes no commands, as it has to. After a restart of all of them with one loss it still took none, for good: 'the cluster is forming: it has 3 of 3 voters'.

Cause: the mark is cleared with a change of the replica set, and with all voters there is none to make.

Fix: a leader whose set has the mark and enough voters proposes the same set without the mark.

--- a/internal/consensus/forming_test.go
+++ b/internal/consensus/forming_test.go
@@ -134,3 +134,27 @@
 		is.Equal(machine.commandTexts()[0], "with three voters")
 	}
 }
+
+// Guards against a cluster that forms for good: it waits for more voters than there are, and goes on
+// waiting after a restart with fewer declared losses, which all of its voters bear.
+func TestClusterIsFormedOnceFewerVotersAreNeeded(t *testing.T) {
+	is := is.New(t)
+	sim := newUnformedSimulation(1, 3, 2)
+	restart := func(losses int) {
+		sim.declaredLosses, sim.formingVoters = losses, 2*losses+1
+		for _, h := range sim.hosts {
+			sim.crash(h)
+			sim.restart(h)
+		}
+	}
+	restart(2)
+	is.NoErr(sim.hosts[0].replica.Bootstrap(sim.now))
+	sim.run(20*simElectionTimeout, sim.startRequests)
+	is.Equal(len(sim.hosts[0].replica.set.voters()), 3)
+	is.Equal(sim.writes, 0)
+	restart(1)
+	sim.leaderWithin(is, simPowerLossLimit)
+	sim.run(simElectionTimeout, sim.startRequests)
+	is.True(sim.writes > 0)
+	is.Equal(sim.violations, nil)
+}
--- a/internal/consensus/maintain.go
+++ b/internal/consensus/maintain.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"parsleypulley/internal/wire"
 )
 
@@ -29,6 +31,11 @@
 	if r.checkChangeAllowed() != nil {
 		return
 	}
+	if r.set.current().GetForming() && len(r.set.voters()) >= r.options.FormingVoters {
+		// Options.FormingVoters has become smaller since the last change. On an error the next tick retries.
+		_ = r.proposeReplicaSet(now, proto.CloneOf(r.set.current()))
+		return
+	}
 	if !r.demoteSilentVoter(now) && !r.promoteLearner(now) {
 		r.removeGoneLearner(now)
 	}
