link: a process that has called is dialled without waiting for the backoff

What was seen: a control process that had tried to reach a VM before that started answered it only when its next dial was due, up to 2 s later, although messages from it had arrived meanwhile: the first acknowledgement of a new installation came 2.8 s after the first start of its VMs (0.6 s after that of the others) in a trial of TestFirstConfigurationOutlivesLostDisk in which one VM was alone for 2 s.

Cause: the pool knows of failed dials only.

Change: Pool.Heard marks an address from which a message has come, and the next call to it dials at once. Each message allows one dial, so a process that does not listen is still not dialled in a loop.

Evidence: TestDialAfterMessageDoesNotBackOff; internal/link passes.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -70,6 +70,32 @@
 	is.Equal(dials, 1) // the later calls fail because of the backoff
 }
 
+// Guards against a process that has just started and has called, but is not answered until
+// the next dial to it is due, up to two seconds later.
+func TestDialAfterMessageDoesNotBackOff(t *testing.T) {
+	is := is.New(t)
+	pool := NewPool(nil)
+	defer pool.Close()
+	dials := 0
+	pool.Dial = func(context.Context, string) (net.Conn, error) {
+		dials++
+		return nil, errors.New("refused")
+	}
+	for range 10 { // from now on the backoff is a second at least
+		pool.Heard("10.0.0.1:1")
+		_, _ = pool.Call(t.Context(), "10.0.0.1:1", &wire.Request{})
+	}
+	pool.Heard("10.0.0.2:1") // another one
+	before := dials
+	_, _ = pool.Call(t.Context(), "10.0.0.1:1", &wire.Request{})
+	is.Equal(dials, before)
+	pool.Heard("10.0.0.1:1")
+	for range 10 {
+		_, _ = pool.Call(t.Context(), "10.0.0.1:1", &wire.Request{})
+	}
+	is.Equal(dials, before+1)
+}
+
 func TestClosingStreamCancelsHandler(t *testing.T) {
 	is := is.New(t)
 	cancelled := make(chan struct{})
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -56,6 +57,10 @@
 	failures int
 	// retryAt is when the address may be dialled again.
 	retryAt time.Time
+	// heard is set when the process at the address was heard of since the last dial, so
+	// that it may be dialled before retryAt. It is not guarded by mu, which is held while
+	// an address is dialled.
+	heard atomic.Bool
 }
 
 func (p *Pool) peer(address string) *peer {
@@ -69,6 +74,17 @@
 	return pr
 }
 
+// Heard tells the pool that a message from the process at address has arrived. If dials to
+// it have failed, the next one is not delayed any more.
+func (p *Pool) Heard(address string) {
+	p.mu.Lock()
+	pr := p.peers[address]
+	p.mu.Unlock()
+	if pr != nil {
+		pr.heard.Store(true)
+	}
+}
+
 // Close closes all links.
 func (p *Pool) Close() {
 	p.mu.Lock()
@@ -108,7 +124,7 @@
 	if pr.session != nil && !pr.session.IsClosed() {
 		return pr.session, nil
 	}
-	if wait := time.Until(pr.retryAt); wait > 0 {
+	if heard := pr.heard.Swap(false); time.Until(pr.retryAt) > 0 && !heard {
 		return nil, errors.New("link is down; next attempt is due later")
 	}
 	session, err := p.dial(ctx, pr, address)
