node, consensus: the seeds form the cluster together, whichever of them is lost

Cause: that VM alone formed the cluster, with itself as the only voter.

Change: the first 2n+1 seeds in lexical order are founders. The identity of each is derived from its address and the list, so the logs of all begin with the same entry, with all founders as voters, and the protocol's own elections decide: a majority leads, and two clusters would need two majorities. Only an empty folder at the first start takes a founder's identity (storage.Options.NewIdentity); after a lost or damaged disk it is random, so such a replica joins as a learner and never counts as one that remembers. Founders that don't answer don't count for the end of forming, and lose their vote after one election timeout while the cluster is forming. The leader removes founders that are relays. If so many founders are relays that the others have no majority, one replica bootstraps alone, as before; the two ways exclude one another, since an address has a relay or a replica.

Worse than before: with one relay among three seeds both others have to come up; before, the first of them sufficed (docs/decisions/consensus.md).

--- a/internal/consensus/change.go
+++ b/internal/consensus/change.go
@@ -103,7 +103,7 @@
 	if live <= voters/2 {
 		return ErrQuorumAtRisk
 	}
-	set.Forming = r.set.current().GetForming() && voters < r.options.FormingVoters
+	set.Forming = r.set.current().GetForming() && !r.isFormed(now, set)
 	data, err := proto.Marshal(set)
 	if err != nil {
 		return err
@@ -115,6 +115,27 @@
 	return nil
 }
 
+// isFormed reports whether a new cluster with this set bears the losses that
+// Options.FormingVoters are to bear. Voters that have not answered with an entry of the
+// log don't count: some of the first ones may never start.
+func (r *Replica) isFormed(now time.Time, set *wire.ReplicaSet) bool {
+	voters, answering := 0, 0
+	for _, replica := range set.Replicas {
+		if replica.Learner {
+			continue
+		}
+		voters++
+		p := r.leading.followers[replica.Id]
+		if replica.Id == r.options.ID || p != nil && p.match > 0 && r.isLive(now, replica.Id) {
+			answering++
+		}
+	}
+	needed := r.options.FormingVoters
+	return answering >= needed && answering-majority(voters) >= needed-majority(needed)
+}
+
+func majority(voters int) int { return voters/2 + 1 }
+
 // handleJoin adds the sender to the replica set. A follower forwards the request to the
 // leader instead, because the sender may not know the leader's address. A request
 // that was already forwarded has a recipient and isn't forwarded again.
--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -8,6 +8,13 @@
 	"parsleypulley/internal/wire"
 )
 
+// Parts of the election timeout: the time by which the first elections of the voters of a
+// new cluster are apart, and the minimum time until their next attempt.
+const (
+	foundingRankFraction  = 30
+	foundingRetryFraction = 12
+)
+
 // resetElectionTimeout restarts the election timeout with a new random duration
 // between one and two times Options.ElectionTimeout.
 func (r *Replica) resetElectionTimeout(now time.Time) {
@@ -23,6 +30,10 @@
 func (r *Replica) resetRetryTimeout(now time.Time) {
 	timeout := r.options.ElectionTimeout / 4
 	timeout += time.Duration(r.options.Random.Int64N(int64(r.options.ElectionTimeout)))
+	if r.founding() {
+		timeout = r.options.ElectionTimeout / foundingRetryFraction
+		timeout += time.Duration(r.options.Random.Int64N(int64(2 * timeout)))
+	}
 	r.electionDeadline = now.Add(timeout)
 }
 
--- a/internal/consensus/forming_test.go
+++ b/internal/consensus/forming_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/wire"
 )
 
 // Guards against a command that is acknowledged in a new cluster while it is on fewer disks
@@ -134,3 +137,137 @@
 		is.Equal(machine.commandTexts()[0], "with three voters")
 	}
 }
+
+// foundingCase is a way in which a cluster of one non-founder and three founders starts.
+// Times are in slots of foundingSlot.
+type foundingCase struct {
+	// start holds the slot in which each founder starts; notBeforeHeal is later.
+	start [3]int
+	// lost is the founder whose disk is lost in the slot lostAt, or -1.
+	lost, lostAt int
+	// cut is the founder that reaches no other until the faults end, or -1.
+	cut int
+	// drop is the probability that a message is lost until the faults end.
+	drop float64
+	seed uint64
+}
+
+const (
+	foundingSlot  = simElectionTimeout / 3
+	notBeforeHeal = 100
+)
+
+// troubles returns the number of founders that are lost, cut off or late.
+func (c foundingCase) troubles() int {
+	affected := map[int]bool{}
+	for i, start := range c.start {
+		if start == notBeforeHeal {
+			affected[i] = true
+		}
+	}
+	for _, i := range []int{c.lost, c.cut} {
+		if i >= 0 {
+			affected[i] = true
+		}
+	}
+	return len(affected)
+}
+
+// play runs the case and returns its violations.
+func (c foundingCase) play() []string {
+	sim := newUnformedSimulation(c.seed, 4, 1)
+	sim.faults.drop = c.drop
+	var founders []*wire.Replica
+	for _, h := range sim.hosts[:3] {
+		founders = append(founders, &wire.Replica{Id: h.id, Address: h.address()})
+		sim.crash(h)
+	}
+	if c.cut >= 0 {
+		sim.isolate(sim.hosts[c.cut], true)
+	}
+	wiped := false
+	step := func() {
+		sim.startRequests()
+		for i, h := range sim.hosts[:3] {
+			if !h.down && h.id == founders[i].Id {
+				_ = h.replica.Found(sim.now, founders)
+			}
+		}
+	}
+	for slot := range 12 {
+		for i, h := range sim.hosts[:3] {
+			if c.start[i] == slot && h.id == founders[i].Id {
+				sim.restart(h)
+			}
+			if c.lost == i && c.lostAt == slot {
+				sim.crash(h)
+				sim.loseDisk(h)
+				wiped = true
+			}
+			if c.lost == i && c.lostAt+3 == slot {
+				sim.restart(h) // with another identity
+			}
+		}
+		sim.run(foundingSlot, step)
+	}
+	if c.troubles() <= 1 && c.drop == 0 {
+		for end := sim.now.Add(20 * simElectionTimeout); sim.writes == 0 && len(sim.violations) == 0; sim.run(simStep, step) {
+			if sim.now.After(end) {
+				return []string{"no command is acknowledged although at most one founder is lost"}
+			}
+		}
+	}
+	sim.heal()
+	sim.run(15*simElectionTimeout, step)
+	sim.run(2*simElectionTimeout, func() {})
+	sim.checkConvergence()
+	sim.checkReplicaSets()
+	if sim.writes == 0 {
+		sim.addViolation("no command is acknowledged after all are back")
+	}
+	if len(sim.violations) == 0 && wiped && sim.leader().replica.set.find(founders[c.lost].Id) != nil {
+		sim.addViolation("the lost identity is still in the set")
+	}
+	return sim.violations
+}
+
+// Guards against a new cluster that never forms, that forms twice or that loses what it
+// acknowledged, as one founder's disk is lost, one never starts and one is cut off, in each
+// order of starts and at each moment of the loss. With one of these the cluster forms
+// nevertheless, with more it forms once all are back.
+func TestFoundersFormOneClusterInAnyOrder(t *testing.T) {
+	cases := make(chan foundingCase)
+	var group sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		group.Go(func() {
+			for c := range cases {
+				if violations := c.play(); len(violations) > 0 {
+					t.Errorf("%+v: %v", c, violations)
+				}
+			}
+		})
+	}
+	var seed uint64
+	play := func(c foundingCase) {
+		if seed++; !t.Failed() {
+			c.seed = seed
+			cases <- c
+		}
+	}
+	starts := []int{0, 2, notBeforeHeal}
+	for order := range 27 {
+		start := [3]int{starts[order%3], starts[order/3%3], starts[order/9]}
+		for cut := -1; cut < 3; cut++ {
+			for _, drop := range []float64{0, 0.2} {
+				play(foundingCase{start: start, lost: -1, cut: cut, drop: drop})
+				for lost := range 3 {
+					for _, lostAt := range []int{0, 1, 2, 3, 4, 6} {
+						play(foundingCase{start: start, lost: lost, lostAt: lostAt, cut: cut, drop: drop})
+					}
+				}
+			}
+		}
+	}
+	close(cases)
+	group.Wait()
+}
--- a/internal/consensus/maintain.go
+++ b/internal/consensus/maintain.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"parsleypulley/internal/wire"
 )
 
@@ -10,6 +12,9 @@
 const (
 	// voterSilenceTimeouts is the silence after which a voter may lose its vote.
 	voterSilenceTimeouts = 3
+	// foundingSilenceTimeouts is the same while the cluster is forming. It is shorter,
+	// since a voter that never starts keeps the cluster from taking commands.
+	foundingSilenceTimeouts = 1
 	// goneTimeouts is the silence after which a learner is taken to be gone for good
 	// and is removed.
 	goneTimeouts = 20
@@ -29,6 +34,10 @@
 	if r.checkChangeAllowed() != nil {
 		return
 	}
+	if set := r.set.current(); set.GetForming() && r.isFormed(now, set) {
+		_ = r.proposeReplicaSet(now, proto.CloneOf(set)) // on an error the next tick retries
+		return
+	}
 	if !r.demoteSilentVoter(now) && !r.promoteLearner(now) {
 		r.removeGoneLearner(now)
 	}
@@ -49,8 +58,12 @@
 // silentVoters returns the number of voters that are silent for long enough to lose
 // their votes, and the one that is silent for the longest time.
 func (r *Replica) silentVoters(now time.Time) (count int, longest uint64) {
+	limit := voterSilenceTimeouts * r.options.ElectionTimeout
+	if r.set.current().GetForming() {
+		limit = foundingSilenceTimeouts * r.options.ElectionTimeout
+	}
 	for _, id := range r.set.voters() {
-		if r.silence(now, id) < voterSilenceTimeouts*r.options.ElectionTimeout {
+		if r.silence(now, id) < limit {
 			continue
 		}
 		count++
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -309,6 +309,11 @@
 	return n.call(ctx, n.replica.Bootstrap)
 }
 
+// Found makes this empty replica one of the voters of a new cluster; see Replica.Found.
+func (n *Node) Found(ctx context.Context, voters []*wire.Replica) error {
+	return n.call(ctx, func(now time.Time) error { return n.replica.Found(now, voters) })
+}
+
 // AddLearner adds a replica as a learner. The leader promotes it to voter once it
 // has caught up. AddLearner must be called on the leader and returns before the
 // change is committed.
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -138,21 +139,53 @@
 	if r.log.lastIndex() > 0 || r.term > 0 || r.set.current() != nil {
 		return ErrInCluster
 	}
-	set := &wire.ReplicaSet{
-		Replicas: []*wire.Replica{{Id: r.options.ID, Address: r.options.Address}},
-		Forming:  r.options.FormingVoters > 1,
+	founder := &wire.Replica{Id: r.options.ID, Address: r.options.Address}
+	if err := r.startLog([]*wire.Replica{founder}); err != nil {
+		return err
 	}
-	data, err := proto.Marshal(set)
+	r.startElection(now, false)
+	return nil
+}
+
+// Found makes this empty replica a voter of a new cluster with the given voters. All of
+// them must call it with the same ones, so that all logs begin with the same entry. A
+// majority of them then forms the cluster; which of them are lost or never start
+// doesn't matter. A voter that lost its disk must not use its identity again.
+func (r *Replica) Found(now time.Time, voters []*wire.Replica) error {
+	if r.log.lastIndex() > 0 || r.set.current() != nil {
+		return ErrInCluster
+	}
+	rank := slices.IndexFunc(voters, func(v *wire.Replica) bool { return v.Id == r.options.ID })
+	if rank < 0 {
+		return ErrUnknownReplica
+	}
+	if err := r.startLog(voters); err != nil {
+		return err
+	}
+	// The voters don't wait for the leader of a cluster that has had none. They start one
+	// after another, so that they don't split the votes.
+	r.electionDeadline = now.Add(time.Duration(rank) * r.options.ElectionTimeout / foundingRankFraction)
+	return nil
+}
+
+// startLog writes the first entry of the log, with the voters of a new cluster. A voter
+// may have granted votes before, in higher terms.
+func (r *Replica) startLog(voters []*wire.Replica) error {
+	set := &wire.ReplicaSet{Replicas: voters, Forming: r.options.FormingVoters > 1}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(set)
 	if err != nil {
 		return fmt.Errorf("encode replica set: %w", err)
 	}
-	r.term = 1
+	r.term = max(r.term, 1)
 	r.log.append(&wire.LogEntry{Index: 1, Term: 1, Kind: wire.LogEntry_KIND_MEMBERS, Data: data})
 	r.set.add(1, set)
-	r.startElection(now, false)
 	return nil
 }
 
+// founding reports whether the log has nothing but the first entry of Found, so that the
+// cluster has not had a leader that this replica knows of.
+func (r *Replica) founding() bool { return r.log.lastIndex() == 1 && r.log.commitIndex == 0 }
+
 // Forming reports whether the cluster is new and has not yet had Options.FormingVoters
 // voters in a committed replica set. Until then a command could be committed on fewer
 // disks than survive the declared losses, so the leader takes no commands and no reads.
--- a/internal/node/bootstrap.go
+++ b/internal/node/bootstrap.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -17,8 +16,8 @@
 
 const (
 	// bootstrapPingInterval is the time between two rounds of pings to the configured
-	// control addresses while this replica belongs to no cluster.
-	bootstrapPingInterval = 100 * time.Millisecond
+	// control addresses while this replica belongs to no cluster, or to one that is forming.
+	bootstrapPingInterval = 50 * time.Millisecond
 	// memberPingInterval is the same time once it belongs to a cluster. These pings let
 	// processes that know only relays find the replicas again.
 	memberPingInterval = time.Second
@@ -26,42 +25,8 @@
 	pingTimeout = 400 * time.Millisecond
 )
 
-// seed is a configured control address and its answer to a ping.
-type seed struct {
-	address string
-	// pong is nil if there was no answer.
-	pong *wire.Pong
-}
-
-// shouldBootstrap reports whether the replica at self bootstraps the cluster. This is
-// the case if self is the first of the configured addresses, in lexical order, that has
-// a replica. If all configured addresses are relays, it is the case if the first relay
-// has chosen self. While that is not known, or if any seed belongs to a cluster, it
-// returns false. seeds may be in any order and must include self if it is configured.
-func shouldBootstrap(self string, seeds []seed) bool {
-	if len(seeds) == 0 {
-		return true
-	}
-	seeds = slices.Clone(seeds)
-	slices.SortFunc(seeds, func(a, b seed) int { return cmp.Compare(a.address, b.address) })
-	for _, s := range seeds {
-		if s.pong.GetInCluster() {
-			return false
-		}
-	}
-	for _, s := range seeds {
-		switch {
-		case s.address == self:
-			return true
-		case !s.pong.GetRelay():
-			return false // that address bootstraps itself, or has not answered yet
-		}
-	}
-	return seeds[0].pong.GetFirstReplica() == self
-}
-
-// bootstrapper announces a replica to the configured control addresses, and bootstraps
-// the cluster if shouldBootstrap selects this replica.
+// bootstrapper announces a replica to the configured control addresses, and takes part in
+// the formation of the cluster as decideFormation says.
 type bootstrapper struct {
 	process *daemon.Process
 	node    *consensus.Node
@@ -69,6 +34,8 @@
 	self string
 	// firstStart is set when the whole installation starts for the first time.
 	firstStart bool
+	// founders are the first voters of a new cluster.
+	founders []*wire.Replica
 
 	mu sync.Mutex
 	// configured holds the configured control addresses.
@@ -85,24 +52,57 @@
 // run pings the configured addresses periodically until ctx ends.
 func (b *bootstrapper) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		replicas := b.node.Status().Replicas
-		seeds := b.ping(ctx, replicas)
+		status := b.node.Status()
+		seeds := b.ping(ctx, status)
 		wait := memberPingInterval
-		if len(replicas) == 0 {
+		if len(status.Replicas) == 0 || status.Forming {
 			wait = bootstrapPingInterval
-			if b.firstStart && shouldBootstrap(b.self, seeds) {
-				if err := b.node.Bootstrap(ctx); err != nil && !errors.Is(err, consensus.ErrInCluster) {
-					event.ComponentEnded("bootstrap", err)
-				}
-			}
+		}
+		var err error
+		switch {
+		case len(status.Replicas) == 0:
+			err = b.form(ctx, status.ID, seeds)
+		case status.Forming && status.Role == consensus.Leader:
+			b.removeRelays(ctx, status, seeds)
+		}
+		if err != nil && !errors.Is(err, consensus.ErrInCluster) {
+			event.ComponentEnded("bootstrap", err)
 		}
 		backoff.Sleep(ctx, wait)
 	}
 }
 
-// ping pings the configured addresses concurrently, except this replica and those that
-// are known to be replicas.
-func (b *bootstrapper) ping(ctx context.Context, replicas []*wire.Replica) []seed {
+// form begins a new cluster if this replica is to do so. A founder that was restarted
+// before it began its log is still one.
+func (b *bootstrapper) form(ctx context.Context, id uint64, seeds []seed) error {
+	isFounder := founderAt(b.founders, b.self) == id
+	switch decideFormation(b.self, len(b.founders), seeds) {
+	case foundTogether:
+		if isFounder {
+			return b.node.Found(ctx, b.founders)
+		}
+	case bootstrapAlone:
+		if b.firstStart {
+			return b.node.Bootstrap(ctx)
+		}
+	}
+	return nil
+}
+
+// removeRelays removes the founders that turn out to be relays, which never vote.
+func (b *bootstrapper) removeRelays(ctx context.Context, status consensus.Status, seeds []seed) {
+	for _, s := range seeds {
+		for _, r := range status.Replicas {
+			if s.pong.GetRelay() && r.Address == s.address {
+				_ = b.node.Remove(ctx, r.Id) // on an error the next round retries
+			}
+		}
+	}
+}
+
+// ping pings the configured addresses concurrently, except this replica and, once the
+// cluster is formed, those that are known to be replicas.
+func (b *bootstrapper) ping(ctx context.Context, status consensus.Status) []seed {
 	b.mu.Lock()
 	configured := b.configured
 	b.mu.Unlock()
@@ -112,7 +112,8 @@
 	var pings sync.WaitGroup
 	for i, address := range configured {
 		seeds[i].address = address
-		if address == b.self || slices.ContainsFunc(replicas, func(r *wire.Replica) bool { return r.GetAddress() == address }) {
+		known := slices.ContainsFunc(status.Replicas, func(r *wire.Replica) bool { return r.GetAddress() == address })
+		if address == b.self || known && !status.Forming {
 			continue
 		}
 		pings.Go(func() {
--- a/internal/node/replica_host.go
+++ b/internal/node/replica_host.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"sync"
 
@@ -73,8 +74,13 @@
 
 func (h *replicaHost) newReplica(ctx context.Context) (*servedReplica, error) {
 	settings := h.options.Settings
+	voters := founders(settings.Control, declaredLosses(h.options.DeclaredLosses, len(settings.Control)))
+	files := h.options.Storage
+	if h.options.Bootstrap {
+		files.NewIdentity = founderAt(voters, settings.Address())
+	}
 	replica, err := StartReplica(h.process, ReplicaOptions{
-		Data: h.options.Data, Storage: h.options.Storage, Peers: settings.Control,
+		Data: h.options.Data, Storage: files, Peers: settings.Control,
 		DeclaredLosses: h.options.DeclaredLosses, FormingVoters: h.options.FormingVoters,
 	})
 	if err != nil {
@@ -95,7 +101,7 @@
 		configured = settings.Control
 	}
 	r := &servedReplica{Replica: replica, service: control.NewService(replica.Node, replica.Machine, options),
-		bootstrap: &bootstrapper{process: h.process, node: replica.Node, self: settings.Address(), firstStart: h.options.Bootstrap, configured: configured}}
+		bootstrap: &bootstrapper{process: h.process, node: replica.Node, self: settings.Address(), firstStart: h.options.Bootstrap, founders: voters, configured: configured}}
 	go r.bootstrap.run(ctx)
 	go r.service.Run(ctx)
 	go followReplicas(ctx, replica.Node, leaderClient)
@@ -160,6 +166,11 @@
 
 // ServeLink implements link.Handler.
 func (h *replicaHost) ServeLink(ctx context.Context, call *link.Call) error {
+	// A process that starts is dialled at once when it has called, so that a cluster that
+	// forms doesn't wait for the next attempt.
+	if address := cmp.Or(call.Request.GetFromAddress(), call.Request.GetConsensus().GetSender().GetAddress()); address != "" {
+		h.process.Pool.Heard(address)
+	}
 	return h.replica().service.ServeLink(ctx, call)
 }
 
--- a/internal/storage/fault_test.go
+++ b/internal/storage/fault_test.go
@@ -234,3 +234,39 @@
 	is.True(s.Identity() != identity)
 	is.NoErr(s.Close())
 }
+
+// Guards against a replica that lost its files, or gave them up as damaged, and starts under
+// the identity that it had: it would count as one that remembers its votes.
+func TestNewIdentityIsForEmptyFoldersOnly(t *testing.T) {
+	is := is.New(t)
+	options := Options{FS: newFilledFS(is, 1<<20, 0), NewIdentity: 77}
+	m := options.FS.(*memoryFS)
+	clear(m.names)
+	s, err := Open(dir, options)
+	is.NoErr(err)
+	is.Equal(s.Identity(), uint64(77))
+	is.NoErr(s.Save(HardState{Term: 1}, entries(1, 1, 3)))
+	is.NoErr(s.Close())
+	options.NewIdentity = 78
+	s, err = Open(dir, options)
+	is.NoErr(err)
+	is.Equal(s.Identity(), uint64(77)) // the folder has one
+	is.NoErr(s.Close())
+	options.NewIdentity = 77
+	m.removeFile(identityName)
+	s, err = Open(dir, options)
+	is.NoErr(err)
+	is.True(s.Identity() != 77) // files were there without an identity
+	is.NoErr(s.Close())
+	m.flipBit(identityName, 25)
+	s, cause, err := OpenOrReset(dir, options)
+	is.NoErr(err)
+	is.True(errors.Is(cause, ErrDamaged))
+	is.True(s.Identity() != 77)
+	is.NoErr(s.Close())
+	is.NoErr(Reset(dir, options)) // and the process ends
+	s, err = Open(dir, options)
+	is.NoErr(err)
+	is.True(s.Identity() != 77)
+	is.NoErr(s.Close())
+}
--- a/internal/storage/open.go
+++ b/internal/storage/open.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"path/filepath"
 	"slices"
 	"strings"
@@ -31,6 +32,9 @@
 	SegmentBytes int64
 	// Random is the source of new identities. It defaults to crypto/rand.
 	Random io.Reader
+	// NewIdentity, if not 0, is the identity of a replica whose folder is empty. A folder
+	// from which files were lost or moved away gets a random one.
+	NewIdentity uint64
 }
 
 func (o Options) withDefaults() Options {
@@ -59,7 +63,7 @@
 		return nil, fmt.Errorf("data folder: %w", err)
 	}
 	s := &Store{fs: o.FS, dir: dir, segmentBytes: o.SegmentBytes, lock: lock}
-	if err := s.recover(o.Random); err != nil {
+	if err := s.recover(&o); err != nil {
 		s.closeFiles()
 		return nil, fmt.Errorf("open %s: %w", dir, err)
 	}
@@ -77,6 +81,7 @@
 	if err := Reset(dir, options); err != nil {
 		return nil, cause, err
 	}
+	options.NewIdentity = 0 // the identity that was given up may have been that one
 	s, err = Open(dir, options)
 	return s, cause, err
 }
@@ -125,13 +130,13 @@
 	return fs.SyncDir(discarded)
 }
 
-func (s *Store) recover(random io.Reader) error {
+func (s *Store) recover(o *Options) error {
 	names, err := s.fs.ReadDir(s.dir)
 	if err != nil {
 		return err
 	}
 	if !slices.Contains(names, identityName) {
-		return s.initialize(names, random)
+		return s.initialize(names, o)
 	}
 	if err := s.removeTemporaryFiles(names); err != nil {
 		return err
@@ -240,15 +245,20 @@
 
 // initialize sets up the folder for a new replica. Files that are there without an
 // identity are moved to discardedDir.
-func (s *Store) initialize(names []string, random io.Reader) error {
+func (s *Store) initialize(names []string, o *Options) error {
+	identity := o.NewIdentity
 	if slices.ContainsFunc(names, func(name string) bool { return name != lockName }) {
+		identity = 0
 		if err := discardFiles(s.fs, s.dir, names); err != nil {
 			return err
 		}
 	}
-	identity, err := newIdentity(random)
-	if err != nil {
-		return err
+	// A process may have ended after it gave up an identity.
+	if identity == 0 || s.hasDiscardedFiles() {
+		var err error
+		if identity, err = newIdentity(o.Random); err != nil {
+			return err
+		}
 	}
 	s.setState(&State{Identity: identity})
 	if err := s.startSegment(1); err != nil {
@@ -257,6 +267,13 @@
 	return writeIdentity(s.fs, s.dir, identity, 1)
 }
 
+// hasDiscardedFiles reports whether an identity was given up in the folder, or whether that
+// can't be ruled out.
+func (s *Store) hasDiscardedFiles() bool {
+	names, err := s.fs.ReadDir(filepath.Join(s.dir, discardedDir))
+	return len(names) > 0 || err != nil && !errors.Is(err, os.ErrNotExist)
+}
+
 func (s *Store) removeTemporaryFiles(names []string) error {
 	for _, name := range names {
 		if !strings.HasSuffix(name, tempSuffix) {
