--- a/internal/consensus/maintain.go
+++ b/internal/consensus/maintain.go
@@ -12,6 +12,9 @@
 const (
 	// voterSilenceTimeouts is the silence after which a voter may lose its vote.
 	voterSilenceTimeouts = 3
+	// foundingSilenceTimeouts is the same while the cluster is forming. It is shorter,
+	// since a voter that never starts keeps the cluster from taking commands.
+	foundingSilenceTimeouts = 1
 	// goneTimeouts is the silence after which a learner is taken to be gone for good
 	// and is removed.
 	goneTimeouts = 20
@@ -31,9 +34,8 @@
 	if r.checkChangeAllowed() != nil {
 		return
 	}
-	if r.set.current().GetForming() && len(r.set.voters()) >= r.options.FormingVoters {
-		// Options.FormingVoters has become smaller since the last change. On an error the next tick retries.
-		_ = r.proposeReplicaSet(now, proto.CloneOf(r.set.current()))
+	if set := r.set.current(); set.GetForming() && r.isFormed(now, set) {
+		_ = r.proposeReplicaSet(now, proto.CloneOf(set)) // on an error the next tick retries
 		return
 	}
 	if !r.demoteSilentVoter(now) && !r.promoteLearner(now) {
@@ -56,8 +58,12 @@
 // silentVoters returns the number of voters that are silent for long enough to lose
 // their votes, and the one that is silent for the longest time.
 func (r *Replica) silentVoters(now time.Time) (count int, longest uint64) {
+	limit := voterSilenceTimeouts * r.options.ElectionTimeout
+	if r.set.current().GetForming() {
+		limit = foundingSilenceTimeouts * r.options.ElectionTimeout
+	}
 	for _, id := range r.set.voters() {
-		if r.silence(now, id) < voterSilenceTimeouts*r.options.ElectionTimeout {
+		if r.silence(now, id) < limit {
 			continue
 		}
 		count++
