forward: a server takes no more of the response memory than it leaves

What callers saw: while one server held all memory for the parts of responses, by beginnings of long events, the streams of sound servers were cut in the middle by their next event beyond 4 KiB (LOST beside planned work).

Cause: one budget for all servers without shares. An event without memory ends its attempt, also after it has begun.

Evidence: TestHeldMemoryOfOneServerCutsNoStreamOfAnother; before, the stream ended with 'unexpected EOF'.

Fix: a server's parts may take no more than what they leave: one server half of the budget, k servers k/(k+1) of it. The lock is taken only for parts beyond what each reader has free.

Test changed: TestMemoryHold has two servers and a larger budget, since a single hold does not get all of it any more; what is taken, refused and given back is checked as before, and that nothing is kept of servers without parts.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -263,7 +263,7 @@
 			return nil, step
 		}
 	}
-	hold := c.f.connPool.memory.hold(freePartMemory)
+	hold := r.conn.memory.hold(r.conn.address, freePartMemory)
 	defer hold.release()
 	body, more, err := r.bufferBody(hold)
 	if err != nil && outcome == Failed {
@@ -383,7 +383,7 @@
 // forwardStream forwards the events of a streaming response as they arrive. The
 // result is as for runAttempt.
 func (c *forwardedCall) forwardStream(d *routing.Decision, r *response) (*failure, Step) {
-	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer), hold: *c.f.connPool.memory.hold(freePartMemory)}
+	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer), hold: *r.conn.memory.hold(r.conn.address, freePartMemory)}
 	defer events.hold.release()
 	// started is set after the first event with data, and delivered after the first event of any kind.
 	started, delivered := false, false
--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -349,7 +349,7 @@
 // discardRecorded does the same and returns all bytes that have arrived behind the head, also those that are
 // no part of the body. The caller must release the memory that they take.
 func (c *conn) discardRecorded(body io.Reader, timeout time.Duration) (behind *byteRecord, err error) {
-	behind = &byteRecord{hold: *c.memory.hold(freeHeadMemory)}
+	behind = &byteRecord{hold: *c.memory.hold(c.address, freeHeadMemory)}
 	buffered, _ := c.r.Peek(c.r.Buffered())
 	behind.add(buffered)
 	c.head.record = behind
--- a/internal/forward/memory.go
+++ b/internal/forward/memory.go
@@ -8,7 +8,7 @@
 	"math"
 	"net/http"
 	"runtime/debug"
-	"sync/atomic"
+	"sync"
 )
 
 const (
@@ -32,10 +32,15 @@
 
 // memoryBudget limits the memory of the parts of all responses that are kept until more of them has come. Limits
 // on one response alone do not bound it: servers that send nearly as much, and then a byte now and then, hold it for
-// as many calls as there are. It is safe for concurrent use.
+// as many calls as there are. A server may take no more than what it leaves: faulty ones would otherwise leave nothing
+// for the responses of sound ones, which are cut without memory. It is safe for concurrent use.
 type memoryBudget struct {
 	limit int64
-	taken atomic.Int64
+
+	mu    sync.Mutex
+	taken int64
+	// takenBy is what was taken for the responses of each server, by address.
+	takenBy map[string]int64
 }
 
 // newMemoryBudget returns a budget that is a part of the Go runtime's memory limit.
@@ -47,22 +52,42 @@
 	return &memoryBudget{limit: int64(memoryShare * float64(limit))}
 }
 
-// take takes n bytes, and reports whether they were left.
-func (b *memoryBudget) take(n int64) bool {
-	if b.taken.Add(n) <= b.limit {
-		return true
+// take takes n bytes for a response of a server, and reports whether they were left for it.
+func (b *memoryBudget) take(server string, n int64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.takenBy[server]+n > b.limit-b.taken-n {
+		return false
 	}
-	b.taken.Add(-n)
-	return false
+	if b.takenBy == nil {
+		b.takenBy = map[string]int64{}
+	}
+	b.taken += n
+	b.takenBy[server] += n
+	return true
 }
 
-// hold returns a hold that covers free bytes without taking them.
-func (b *memoryBudget) hold(free int64) *memoryHold { return &memoryHold{budget: b, free: free} }
+// giveBack gives back n bytes that were taken for a response of a server.
+func (b *memoryBudget) giveBack(server string, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.taken -= n
+	if b.takenBy[server] -= n; b.takenBy[server] == 0 {
+		delete(b.takenBy, server)
+	}
+}
+
+// hold returns a hold for a response of a server that covers free bytes without taking them.
+func (b *memoryBudget) hold(server string, free int64) *memoryHold {
+	return &memoryHold{budget: b, server: server, free: free}
+}
 
 // memoryHold is what one reader has taken of a budget. It is not safe for concurrent use. The zero value is
 // without a limit.
 type memoryHold struct {
 	budget *memoryBudget
+	// server is the address of the server whose response is read.
+	server string
 	// free is what needs not be taken, and taken what was.
 	free, taken int64
 }
@@ -73,7 +98,7 @@
 	if h.budget == nil || more <= 0 {
 		return true
 	}
-	if !h.budget.take(more) {
+	if !h.budget.take(h.server, more) {
 		return false
 	}
 	h.taken += more
@@ -83,7 +108,7 @@
 // shrink gives back what is more than n bytes need.
 func (h *memoryHold) shrink(n int) {
 	if less := h.taken - max(0, int64(n)-h.free); h.budget != nil && less > 0 {
-		h.budget.taken.Add(-less)
+		h.budget.giveBack(h.server, less)
 		h.taken -= less
 	}
 }
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -84,7 +84,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	var info ResponseInfo
-	hold := f.connPool.memory.hold(freeHeadMemory)
+	hold := f.connPool.memory.hold(address, freeHeadMemory)
 	c.head.hold = hold
 	resp, reqWrite, sent, err := c.roundTrip(ctx, req, len(body), func(resp *http.Response) bool {
 		info = f.dialect.ReadResponse(resp.StatusCode, resp.Header)
