Tests for two faults that are left: a refused resumption, and a lost disk while forming

TestFullQueueCutsNoStreamThatOthersRefuse: a begun resumable stream is ended on a check (or as stalled) when another server can be selected and a retry is taken. That the next attempt is accepted is not known then; if it is refused and no server is left to try, the caller's stream is cut though its own connection was sound.

TestFormingClusterOutlivesLostDisk: nothing is acknowledged while a cluster forms, but if the replica that formed it loses its disk before enough others vote, the others neither lead nor form a cluster.

--- a/internal/consensus/forming_test.go
+++ b/internal/consensus/forming_test.go
@@ -158,3 +158,29 @@
 	is.True(sim.writes > 0)
 	is.Equal(sim.violations, nil)
 }
+
+// Guards against a new cluster that is down for good: the replica that formed it loses its disk before enough others
+// vote, comes back empty, and none of the others can lead or form a cluster.
+func TestFormingClusterOutlivesLostDisk(t *testing.T) {
+	for title, joined := range map[string]int{"one voter": 0, "two voters": 1} {
+		t.Run(title, func(t *testing.T) {
+			is := is.New(t)
+			sim := newUnformedSimulation(1, 4, 1)
+			first := sim.hosts[0]
+			is.NoErr(first.replica.Bootstrap(sim.now))
+			for _, h := range sim.hosts[1+joined:] {
+				sim.crash(h)
+			}
+			sim.run(10*simElectionTimeout, func() {})
+			is.Equal(len(first.replica.set.voters()), 1+joined)
+			sim.crash(first)
+			sim.loseDisk(first)
+			sim.restart(first)
+			for _, h := range sim.hosts[1+joined:] {
+				sim.restart(h)
+			}
+			sim.run(100*simElectionTimeout, sim.startRequests)
+			is.True(sim.writes > 0)
+		})
+	}
+}
--- a/internal/forward/fullqueue_test.go
+++ b/internal/forward/fullqueue_test.go
@@ -188,3 +188,29 @@
 		}
 	}
 }
+
+// Guards against a sound stream that is cut since a check could not reach its server, whose listener's queue is full,
+// and the server that was to go on with it refuses: that one could be selected, but has no room either.
+func TestFullQueueCutsNoStreamThatOthersRefuse(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{})
+	address := listenWithFullQueue(t, func(c net.Conn, r *http.Request) {
+		writeEvents(c, r, 1, 3, false)
+		close(begun)
+		time.Sleep(1700 * time.Millisecond)
+		fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(eventsText(4, 5)), eventsText(4, 5))
+	})
+	r := newFixture(t, forwardRoute(func(r *wire.ForwardRoute) { setResumableStream(r); r.TimeoutMs = 8000 }), address)
+	var body string
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, body, _, err = r.call()
+	}()
+	<-begun
+	r.setBackend(1, startBackend(t, func(c net.Conn, r *http.Request) { writeResponse(c, r, 503, "Not-Run: 1\r\n", "") }), wire.BackendState_BACKEND_STATE_READY)
+	<-done
+	is.NoErr(err)
+	is.Equal(body, eventsText(1, 5))
+}
