--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -275,7 +275,7 @@
 			return nil, step
 		}
 	}
-	hold := c.f.connPool.memory.Hold(freePartMemory)
+	hold := r.conn.memory.Hold(r.conn.address, freePartMemory)
 	defer hold.Release()
 	body, more, err := r.bufferBody(hold)
 	if err != nil && outcome == Failed {
@@ -398,7 +398,7 @@
 // forwardStream forwards the events of a streaming response as they arrive. The
 // result is as for runAttempt.
 func (c *forwardedCall) forwardStream(d *routing.Decision, r *response) (*failure, Step) {
-	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer), hold: *c.f.connPool.memory.Hold(freePartMemory)}
+	events := eventReader{r: bufio.NewReaderSize(r.body, readBuffer), hold: *r.conn.memory.Hold(r.conn.address, freePartMemory)}
 	defer events.hold.Release()
 	// started is set after the first event with data, and delivered after the first event of any kind.
 	started, delivered := false, false
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -85,7 +85,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	var info ResponseInfo
-	hold := f.connPool.memory.Hold(freeHeadMemory)
+	hold := f.connPool.memory.Hold(address, freeHeadMemory)
 	c.head.hold = hold
 	resp, reqWrite, sent, err := c.roundTrip(ctx, req, len(body), func(resp *http.Response) bool {
 		info = f.dialect.ReadResponse(resp.StatusCode, resp.Header)
