forward: keep the memory of events while they are of similar size

The first version of the budget gave the buffer of each event over 4 KiB back and took it anew.

The buffer is given back once an event needs less than a quarter of it, and grows by a quarter, so that many streams of the same events fit into the budget.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -63,11 +63,11 @@
 // until the following call. At the end of the stream the error is io.EOF, or
 // io.ErrUnexpectedEOF if the last event is incomplete.
 func (e *eventReader) next() (event []byte, id string, err error) {
-	e.buf = e.buf[:0]
-	if cap(e.buf) > freePartMemory { // streams with a long event now and then would keep its memory
+	if cap(e.buf) > freePartMemory && len(e.buf) < cap(e.buf)/4 { // a stream would keep the memory of one long event
 		e.buf = nil
 		e.hold.Release()
 	}
+	e.buf = e.buf[:0]
 	// lineStart is where the current line begins in buf, and bareReturn is set if the line before it
 	// ended with a carriage return only.
 	lineStart, bareReturn := 0, false
@@ -108,7 +108,7 @@
 // take appends the next unread bytes, which part holds, to the event. It sets full if there is no memory for them.
 func (e *eventReader) take(part []byte) {
 	if need := len(e.buf) + len(part); need > cap(e.buf) {
-		size := max(need, firstEventBuffer, min(2*cap(e.buf), maxEventBytes+readBuffer))
+		size := max(need, firstEventBuffer, cap(e.buf)+cap(e.buf)/4) // many streams may have events of the same size
 		if !e.hold.Cover(size) {
 			responseMemoryFull.Add("event", 1)
 			e.full = true
