--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -15,4 +15,6 @@
 		skip=(-skip "$pattern")
 	fi
 fi
-exec go test "${skip[@]}" "$@" ./...
+# The tests of platform/parsleypulley-vm run one after another, since most start many processes; beside other work they
+# come close to the default limit of ten minutes for a package.
+exec go test -timeout 20m "${skip[@]}" "$@" ./...
