forward: a stream ends on a check only if it can go on with what is known now

Cause: whether another server can be selected was asked with the request that was made when the response began. Since that request excludes servers that may have started anew, and more of them may have become so since.

TestFullQueueCutsNoStreamThatOthersMayNotJoin failed before (unexpected EOF) and passes now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -118,7 +118,9 @@
 func (c *forwardedCall) watch(d *routing.Decision, cancel context.CancelCauseFunc) {
 	c.watched = &watchedAttempt{backend: d.Backend, request: c.call.ID, cancel: cancel,
 		takeRetry: func(next *routing.Request) bool {
-			return !c.softwareDoubtful() && c.f.selector.takeRetry(c.service, c.call.Model, next)
+			now := *next
+			now.Tried = c.excludedBackends() // others may have become doubtful since next was made
+			return !c.softwareDoubtful() && c.f.selector.takeRetry(c.service, c.call.Model, &now)
 		},
 		watch: attemptWatch{deadline: c.Deadline, predicted: d.Wait + d.Prefill, stream: c.route.GetStream()}}
 	if c.route.GetStream() {
@@ -141,16 +143,21 @@
 
 // routingRequest returns the request for the backend server of the next attempt.
 func (c *forwardedCall) routingRequest() *routing.Request {
-	excluded := c.triedBackends
-	if c.bound {
-		excluded = append(slices.Clone(excluded), c.f.runs.doubtful()...)
-	}
 	return &routing.Request{
-		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: excluded, Urgency: urgencyOf(c.route, c.account),
+		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: c.excludedBackends(), Urgency: urgencyOf(c.route, c.account),
 		SoftwareVersion: c.softwareVersion, BoundToSoftware: c.bound,
 	}
 }
 
+// excludedBackends returns the names of the backend servers that can't be chosen for the next attempt: those
+// tried, and those at which no stream goes on now.
+func (c *forwardedCall) excludedBackends() []string {
+	if !c.bound {
+		return c.triedBackends
+	}
+	return append(slices.Clone(c.triedBackends), c.f.runs.doubtful()...)
+}
+
 // recordPause records the time between two events of the call, also of different attempts.
 func (c *forwardedCall) recordPause(now time.Time) {
 	if !c.lastEventAt.IsZero() {
--- a/internal/forward/fullqueue_test.go
+++ b/internal/forward/fullqueue_test.go
@@ -214,3 +214,31 @@
 	is.NoErr(err)
 	is.Equal(body, eventsText(1, 5))
 }
+
+// Guards against a sound stream that is cut since a check could not reach its server, and the only other server, at
+// which it was to go on, may have started anew since the stream began.
+func TestFullQueueCutsNoStreamThatOthersMayNotJoin(t *testing.T) {
+	is := is.New(t)
+	begun := make(chan struct{})
+	address := listenWithFullQueue(t, func(c net.Conn, r *http.Request) {
+		writeEvents(c, r, 1, 3, false)
+		close(begun)
+		time.Sleep(1700 * time.Millisecond)
+		fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(eventsText(4, 5)), eventsText(4, 5))
+	})
+	r := newFixture(t, forwardRoute(func(r *wire.ForwardRoute) { setResumableStream(r); r.TimeoutMs = 8000 }), address)
+	var body string
+	var err error
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_, body, _, err = r.call()
+	}()
+	<-begun
+	time.Sleep(100 * time.Millisecond) // the caller has the first events
+	r.setBackend(1, startBackend(t, func(net.Conn, *http.Request) { t.Error("another server got the stream") }), wire.BackendState_BACKEND_STATE_READY)
+	r.f.runs.sign(r.log.Snapshot().Member("b1").GetBackend(), signBroken)
+	<-done
+	is.NoErr(err)
+	is.Equal(body, eventsText(1, 5))
+}
