consensus: a voter that does not answer loses its vote after one election timeout

Cause: a voter that is gone counts until it was silent for three election timeouts (2.25 s), and the silence begins anew with each election, which takes up to 3.4 s. The next loss may come RecoveryS (4 s) after the successor has started, or after a loss of power of all; if it comes before, it finds a set that bears one loss less than declared. Class: the repair of the set takes longer than the declaration allows. Change: one timeout, as before while a cluster forms, so that the second constant goes. A voter that stood still for a second is a learner meanwhile and is promoted when it is back.

--- a/internal/consensus/maintain.go
+++ b/internal/consensus/maintain.go
@@ -10,11 +10,10 @@
 
 // Multiples of Options.ElectionTimeout.
 const (
-	// voterSilenceTimeouts is the silence after which a voter may lose its vote.
-	voterSilenceTimeouts = 3
-	// foundingSilenceTimeouts is the same while the cluster is forming. It is shorter,
-	// since a voter that never starts keeps the cluster from taking commands.
-	foundingSilenceTimeouts = 1
+	// voterSilenceTimeouts is the silence after which a voter may lose its vote. As long as
+	// a voter that is gone keeps its vote, fewer losses can be borne than declared; after
+	// the loss of a leader that is the time of an election and of this silence.
+	voterSilenceTimeouts = 1
 	// goneTimeouts is the silence after which a learner is taken to be gone for good
 	// and is removed.
 	goneTimeouts = 20
@@ -59,9 +58,6 @@
 // their votes, and the one that is silent for the longest time.
 func (r *Replica) silentVoters(now time.Time) (count int, longest uint64) {
 	limit := voterSilenceTimeouts * r.options.ElectionTimeout
-	if r.set.current().GetForming() {
-		limit = foundingSilenceTimeouts * r.options.ElectionTimeout
-	}
 	for _, id := range r.set.voters() {
 		if r.silence(now, id) < limit {
 			continue
