consensus, node: a replica in a planned stop gives up its vote

Callers see no call served for good when a control VM is replaced as planned, its successor has run for long enough, and right after its end as many disks are lost as are declared. Cause: the replica that stops keeps its vote until the leader notices its silence (0.75 s, 2.25 s before), but a VM that was replaced as planned counts as lost no longer. Change: message LEAVE; the leader takes the vote while enough voters remain, or has a learner take it. A planned stop waits for that for 0.75 s at most.

--- a/cmd/parsleypulleyd/control.go
+++ b/cmd/parsleypulleyd/control.go
@@ -67,7 +67,7 @@
 	return p.Wait(func(ctx context.Context) {
 		stopOperatorAPI(ctx)
 		service.StopWatches()
-		node.TransferLeadership(ctx, replica.Node)
+		node.HandOver(ctx, replica.Node)
 	})
 }
 
--- a/internal/consensus/losses_test.go
+++ b/internal/consensus/losses_test.go
@@ -22,6 +22,9 @@
 type lossSchedule struct {
 	*simulation
 	losses int
+	// plannedStops is set if a host that is replaced as planned stops in order and no
+	// longer counts as lost from then on.
+	plannedStops bool
 	// stableAt is when no host counts as lost any more.
 	stableAt time.Time
 	// steps describes what was done.
@@ -103,6 +106,11 @@
 		lost = lost[:1]
 		each("is to be replaced", func(*host) { s.addHost(); s.returned() })
 		s.runUntilStable()
+		if s.plannedStops {
+			s.note("host %d stops", lost[0].number)
+			s.stopHost(lost[0])
+			return
+		}
 		each("is gone", func(h *host) { s.removeHost(h); s.returned() })
 	case 3, 4:
 		each("loses its disk", func(h *host) { s.crash(h); s.loseDisk(h) })
@@ -178,15 +186,26 @@
 //
 //	CONSENSUS_SEED=1000 CONSENSUS_LOSS_SCHEDULES=1000 go test -run LeaderAfterDeclaredLosses -timeout 1h ./internal/consensus
 func TestLeaderAfterDeclaredLosses(t *testing.T) {
-	tests := []struct {
-		hosts, losses int
-		// regressionSeeds are seeds that failed before the vote of a voter that doesn't
-		// answer was taken after one election timeout.
-		regressionSeeds []uint64
-	}{
+	checkLossSchedules(t, false, []lossScheduleTest{
 		{3, 1, []uint64{26, 107}}, {4, 1, nil}, {5, 2, []uint64{57, 659}}, {6, 2, []uint64{407}},
 		{7, 3, []uint64{40, 348}}, {8, 2, nil},
-	}
+	})
+}
+
+// Guards against the same after planned replacements: the successor runs for long enough, the
+// replaced host stops in order, and the next loss, or the last one, comes right after that.
+func TestLeaderAfterPlannedReplacements(t *testing.T) {
+	checkLossSchedules(t, true, []lossScheduleTest{{3, 1, nil}, {4, 1, nil}, {5, 2, nil}, {6, 2, nil}, {7, 3, nil}, {8, 2, nil}})
+}
+
+type lossScheduleTest struct {
+	hosts, losses int
+	// regressionSeeds are seeds that failed before the vote of a voter that doesn't
+	// answer was taken after one election timeout.
+	regressionSeeds []uint64
+}
+
+func checkLossSchedules(t *testing.T, plannedStops bool, tests []lossScheduleTest) {
 	for _, test := range tests {
 		t.Run(fmt.Sprintf("%d of %d", test.losses, test.hosts), func(t *testing.T) {
 			t.Parallel()
@@ -197,6 +216,7 @@
 			}
 			for _, seed := range seeds {
 				s := newLossSchedule(t, seed, test.hosts, test.losses)
+				s.plannedStops = plannedStops
 				if err := s.check(); err != nil {
 					t.Errorf("%s=%d %s=1: %v\n%v", seedEnv, seed, lossSchedulesEnv, err, s.steps)
 				}
--- a/internal/consensus/maintain.go
+++ b/internal/consensus/maintain.go
@@ -54,12 +54,18 @@
 	return 0
 }
 
-// silentVoters returns the number of voters that are silent for long enough to lose
-// their votes, and the one that is silent for the longest time.
+// isLeaving reports whether the replica id has told lately that it is about to stop.
+func (r *Replica) isLeaving(now time.Time, id uint64) bool {
+	p := r.leading.followers[id]
+	return p != nil && now.Before(p.leavingUntil)
+}
+
+// silentVoters returns the number of voters that are leaving or silent for long enough
+// to lose their votes, and the one of them that is silent for the longest time.
 func (r *Replica) silentVoters(now time.Time) (count int, longest uint64) {
 	limit := voterSilenceTimeouts * r.options.ElectionTimeout
 	for _, id := range r.set.voters() {
-		if r.silence(now, id) < limit {
+		if r.silence(now, id) < limit && !r.isLeaving(now, id) {
 			continue
 		}
 		count++
@@ -134,7 +140,7 @@
 	}
 	for _, replica := range r.set.current().Replicas {
 		p := r.leading.followers[replica.Id]
-		if !replica.Learner || p == nil || p.mode != replicating || !r.isLive(now, replica.Id) {
+		if !replica.Learner || p == nil || p.mode != replicating || !r.isLive(now, replica.Id) || r.isLeaving(now, replica.Id) {
 			continue
 		}
 		if r.log.lastIndex()-p.match > maxPromotionLag {
@@ -145,6 +151,22 @@
 	return false
 }
 
+// Leave tells the leader that this replica is about to stop, so that the others bear the
+// declared losses without it at once and not only when its silence is noticed. It
+// reports whether there still is a vote to give up; the caller repeats it until there
+// isn't, since the message may be lost and the leader may not be known yet.
+func (r *Replica) Leave() bool {
+	voters, replicas := len(r.set.voters()), len(r.set.current().GetReplicas())
+	enough := voters > r.minVoters() || replicas > voters // a learner may take the vote
+	if r.role == Leader || !r.set.isVoter(r.options.ID) || !enough {
+		return false
+	}
+	if r.leader != 0 {
+		r.send(&wire.ConsensusMessage{Type: wire.ConsensusMessage_TYPE_LEAVE, To: r.leader})
+	}
+	return true
+}
+
 // WantsToJoin reports whether this replica must ask to join: it belongs to no cluster,
 // or it may have been removed from it while it was down or cut off.
 func (r *Replica) WantsToJoin(now time.Time) bool {
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -348,6 +348,24 @@
 	}
 }
 
+// Leave gives up the vote of this replica, for use before a planned stop and after
+// Transfer. It returns once this replica has no vote, or at once if it leads or the
+// others are too few.
+func (n *Node) Leave(ctx context.Context) error {
+	for {
+		told := false
+		err := n.call(ctx, func(time.Time) error { told = n.replica.Leave(); return nil })
+		if err != nil || !told {
+			return err
+		}
+		select {
+		case <-time.After(n.config.TickInterval):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // call runs f on the node's goroutine and returns its error.
 func (n *Node) call(ctx context.Context, f func(now time.Time) error) error {
 	result := make(chan error, 1)
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -417,6 +418,31 @@
 	c.is.True(fault.Is(old.Remove(t.Context(), next.ID), fault.NotLeader))
 }
 
+// Guards against a replica in a planned stop that keeps its vote until its silence is
+// noticed, and against one that gives it up although the others are too few without it.
+func TestLeaveGivesUpTheVoteThatOthersCanSpare(t *testing.T) {
+	c := newTestCluster(t, 4, Config{})
+	c.propose("one")
+	isVoter := func(n *Node) bool {
+		return slices.ContainsFunc(c.leader().Status().Replicas, func(r *wire.Replica) bool { return r.Id == n.Status().ID && !r.Learner })
+	}
+	var followers []int
+	for i := range 4 {
+		if c.node(i) != c.leader() {
+			followers = append(followers, i)
+		}
+	}
+	c.is.NoErr(c.node(followers[0]).Leave(t.Context()))
+	c.is.True(!isVoter(c.node(followers[0])))
+	c.stop(followers[0])
+	ctx, cancel := context.WithTimeout(t.Context(), DefaultElectionTimeout)
+	defer cancel()
+	_ = c.node(followers[1]).Leave(ctx) // three voters are needed to bear a loss
+	c.is.True(isVoter(c.node(followers[1])))
+	c.stop(followers[1])
+	c.propose("two")
+}
+
 // A leader that is partitioned from the other replicas answers pending calls with an
 // error and stops serving.
 func TestIsolatedLeaderStopsServing(t *testing.T) {
--- a/internal/consensus/progress.go
+++ b/internal/consensus/progress.go
@@ -49,6 +49,9 @@
 	// lastHeard is when the follower's last reply arrived. Before the first reply it
 	// is when the leader was elected or the follower was added.
 	lastHeard time.Time
+	// leavingUntil is set when the follower has told that it is about to stop. Until then
+	// it counts as silent and is not promoted.
+	leavingUntil time.Time
 }
 
 // maxIdleReplies is the number of consecutive heartbeat replies without progress
--- a/internal/consensus/replace_test.go
+++ b/internal/consensus/replace_test.go
@@ -35,6 +35,21 @@
 	h.gone = true
 }
 
+// stopHost stops a host for good, as planned: it transfers its leadership and gives up its vote.
+func (sim *simulation) stopHost(h *host) {
+	for end := sim.now.Add(simElectionTimeout); sim.now.Before(end); sim.run(simStep, sim.startRequests) {
+		if h.replica.role != Leader || h.ready == nil && !h.replica.TransferLeadership(sim.now) {
+			break
+		}
+	}
+	for end := sim.now.Add(simElectionTimeout); sim.now.Before(end); sim.run(simStep, sim.startRequests) {
+		if h.ready == nil && !h.replica.Leave() {
+			break
+		}
+	}
+	sim.removeHost(h)
+}
+
 // addHost starts a new host with an empty disk, at an address of its own.
 func (sim *simulation) addHost() *host {
 	h := &host{number: len(sim.hosts)}
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -286,6 +286,10 @@
 		if r.role == Leader {
 			r.handleReply(now, m)
 		}
+	case wire.ConsensusMessage_TYPE_LEAVE:
+		if p := r.leading.followers[m.From]; p != nil {
+			p.leavingUntil = now.Add(r.options.ElectionTimeout)
+		}
 	}
 }
 
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -68,6 +68,9 @@
 	// forwardTimeout bounds one attempt to forward a call to the leader. Callers wait
 	// for one second in total, and another replica may lead before that has passed.
 	forwardTimeout = 400 * time.Millisecond
+	// leaveTimeout bounds the wait until the vote of a replica that stops is taken. The
+	// leader takes the vote of a silent one after the same time.
+	leaveTimeout = consensus.DefaultElectionTimeout
 )
 
 // RunControl serves operators and backend servers until the planned stop. If there is a
@@ -175,6 +178,15 @@
 	}
 }
 
+// HandOver transfers leadership to another replica and gives up the vote of this one, before
+// a planned stop.
+func HandOver(ctx context.Context, node *consensus.Node) {
+	TransferLeadership(ctx, node)
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	_ = node.Leave(ctx) // on an error the leader takes the vote when it notices the silence
+}
+
 // transferWithin runs a transfer for at most half of the time that ctx leaves. A replica that is live but
 // does not take over would else use up the planned stop, and the requests that run would be cut.
 func transferWithin(ctx context.Context, transfer func(context.Context) error) error {
--- a/internal/node/replica_host.go
+++ b/internal/node/replica_host.go
@@ -148,7 +148,7 @@
 func (h *replicaHost) beginStop(ctx context.Context) {
 	r := h.replica()
 	r.service.StopWatches()
-	TransferLeadership(ctx, r.Node)
+	HandOver(ctx, r.Node)
 }
 
 // close stops the replica.
