forward, engine: tests of responses whose head is cut short

Report of another operator: a backend server stopped in the middle of its response's head and closed, and callers got a 200 with an empty or short body that looked complete. Not found here: on both request paths the server is made to stop after each byte of the head (six framings, closed or reset); the router answers 5xx and the agent's client returns an error each time (12 cases of forward, 12 of engine, passed on the code as it was). The parser of net/http reports a head without its empty line as an error. The tests stay as guards.

--- a/internal/engine/refusals_test.go
+++ b/internal/engine/refusals_test.go
@@ -340,3 +340,35 @@
 		})
 	}
 }
+
+// Guards against a response whose head is cut short and that is passed on as a whole one with an empty or short body. The
+// engine stops after each byte of the head and closes or resets the connection.
+func TestResponseWithHeadCutShortIsAnError(t *testing.T) {
+	heads := map[string]string{
+		"length":                "HTTP/1.1 200 OK\r\n" + echo("r1", "2") + "Content-Length: 13\r\n\r\n",
+		"length 0":              "HTTP/1.1 200 OK\r\n" + echo("r1", "2") + "Content-Length: 0\r\n\r\n",
+		"chunks":                "HTTP/1.1 200 OK\r\n" + echo("r1", "2") + "Transfer-Encoding: chunked\r\n\r\n",
+		"end of the connection": "HTTP/1.1 200 OK\r\n" + echo("r1", "2") + "Connection: close\r\n\r\n",
+		"event stream":          "HTTP/1.1 200 OK\r\n" + echo("r1", "2") + "Content-Type: text/event-stream\r\n\r\n",
+		"interim response":      "HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\n" + echo("r1", "2") + "Content-Length: 13\r\n\r\n",
+	}
+	for name, head := range heads {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
+				for cut := range len(head) {
+					url := serveConnections(t, func(c net.Conn, br *bufio.Reader) {
+						readRequest(br)
+						_, _ = io.WriteString(c, head[:cut])
+						if reset {
+							_ = c.(*net.TCPConn).SetLinger(0)
+						}
+					})
+					text, _, err := readAll(newClient(t, url, true, Limits{}), testRequest(name == "event stream"))
+					if err == nil {
+						t.Fatalf("cut after %d of %d bytes: whole response with the body %q", cut, len(head), text)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/forward/head_test.go
+++ b/internal/forward/head_test.go
@@ -70,3 +70,48 @@
 		}
 	}
 }
+
+// Guards against a response whose head is cut short and that reaches the caller with status 200 and an empty or short
+// body that looks complete. The server stops after each byte of the head and closes or resets the connection.
+func TestResponseWithHeadCutShortIsNoResponse(t *testing.T) {
+	for name, framing := range map[string]string{
+		"length": "Content-Length: 13\r\n\r\n", "length 0": "Content-Length: 0\r\n\r\n", "chunks": "Transfer-Encoding: chunked\r\n\r\n",
+		"end of the connection": "Connection: close\r\n\r\n", "event stream": streamType + "\r\n", "behind an interim response": "Content-Length: 13\r\n\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %t", name, reset), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				head := func(r *http.Request) string {
+					text := "HTTP/1.1 200 OK\r\nCall: " + r.Header.Get("Call") + "\r\nSigned: yes\r\n" + framing
+					if name == "behind an interim response" {
+						text = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + text
+					}
+					return text
+				}
+				stream := name == "event stream"
+				length := 1
+				for cut := 0; cut < length; cut++ {
+					var made atomic.Int32 // bytes of the whole head, once the server has been asked
+					f := softwareFixture(t, []string{"v1"}, func(_ string, c net.Conn, r *http.Request) {
+						text := head(r)
+						made.Store(int32(len(text)))
+						_, _ = io.WriteString(c, text[:cut])
+						if reset {
+							_ = c.(*net.TCPConn).SetLinger(0)
+						}
+						c.Close()
+					})
+					f.setRoute(forwardRoute(func(r *wire.ForwardRoute) { r.Stream, r.Resumable, r.Attempts = stream, stream, 1 }))
+					status, body, _, err := f.call()
+					is.NoErr(err) // the response of the router is whole
+					length = int(made.Load())
+					if status < 500 {
+						t.Fatalf("cut after %d of %d bytes: the caller got %d with the body %q", cut, length, status, body)
+					}
+				}
+				is.True(length > 60)
+			})
+		}
+	}
+}
