consensus: test of disks that are full one after another

Report of another operator: the disks of counted VMs were full for seconds each, one after another, and changes were not acknowledged any more long after.

--- a/internal/consensus/losses_test.go
+++ b/internal/consensus/losses_test.go
@@ -224,3 +224,51 @@
 		})
 	}
 }
+
+// Guards against a cluster that acknowledges nothing, or too late, after the disks of its hosts
+// were full one after another, never two at once: the replica of a full disk stands still
+// until shortly after there is room again.
+func TestFullDisksOneAfterAnother(t *testing.T) {
+	for _, test := range []struct{ hosts, losses int }{{3, 1}, {4, 1}, {5, 2}, {6, 2}, {8, 2}} {
+		t.Run(fmt.Sprintf("%d hosts", test.hosts), func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(40) {
+				s := newLossSchedule(t, seed, test.hosts, test.losses)
+				var waiting []*host // there is room again, and the replica has not been started yet
+				for range 2 {
+					for _, h := range s.present() {
+						s.note("the disk of host %d is full", h.number)
+						h.diskFull = true
+						s.simulation.run(simElectionTimeout+s.randomUpTo(6*simElectionTimeout), s.startRequests)
+						h.diskFull = false
+						for _, h := range waiting {
+							if h.down {
+								s.restart(h)
+							}
+						}
+						waiting = []*host{h}
+						if s.chance(0.5) {
+							s.simulation.run(s.randomUpTo(simElectionTimeout), s.startRequests)
+							if h.down {
+								s.restart(h)
+							}
+						}
+					}
+				}
+				s.heal()
+				written := s.writes
+				s.simulation.run(simPowerLossLimit, s.startRequests)
+				if s.writes == written {
+					t.Errorf("seed %d: nothing is acknowledged: %v\n%v", seed, s.steps, s.replicaSets())
+				}
+				s.simulation.run(20*simElectionTimeout, s.startRequests)
+				s.simulation.run(2*simElectionTimeout, func() {})
+				s.checkConvergence()
+				s.checkReplicaSets()
+				if voters := len(s.leader().replica.set.voters()); len(s.violations) > 0 || voters < min(test.hosts, DefaultMaxVoters) {
+					t.Errorf("seed %d: %d voters, %v\n%v", seed, voters, s.violations, s.steps)
+				}
+			}
+		})
+	}
+}
