consensus: a replica that stops is not promoted again before its process has ended

Cause: the request to leave held for one election timeout and ended with the vote. Change: a replica that stops repeats it with each heartbeat, and the leader holds it for two.

--- a/internal/consensus/losses_test.go
+++ b/internal/consensus/losses_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/matryer/is"
 )
 
 // lossSchedulesEnv names the variable for the number of schedules of each size, from seedEnv on.
@@ -198,6 +200,31 @@
 	checkLossSchedules(t, true, []lossScheduleTest{{3, 1, nil}, {4, 1, nil}, {5, 2, nil}, {6, 2, nil}, {7, 3, nil}, {8, 2, nil}})
 }
 
+// Guards against a replica in a planned stop that gets its vote back: while its process ends, or
+// before its silence is noticed.
+func TestReplicaThatStopsGetsNoVoteBack(t *testing.T) {
+	for seed := range uint64(40) {
+		is := is.New(t)
+		sim := newSettledSimulation(t, seed, 4)
+		h := sim.follower()
+		hasVote := func() bool { return sim.leader().replica.set.isVoter(h.id) }
+		for h.replica.Leave() {
+			sim.run(simStep, sim.startRequests)
+		}
+		is.True(!hasVote())
+		ends, end := sim.now.Add(sim.randomUpTo(6*simElectionTimeout)), sim.now.Add(12*simElectionTimeout)
+		for ; sim.now.Before(end); sim.run(simStep, sim.startRequests) {
+			if !h.down && sim.now.After(ends) {
+				sim.crash(h)
+			}
+			is.True(!hasVote())
+		}
+		sim.restart(h)
+		sim.run(4*simElectionTimeout, sim.startRequests)
+		is.True(hasVote()) // it was a restart
+	}
+}
+
 type lossScheduleTest struct {
 	hosts, losses int
 	// regressionSeeds are seeds that failed before the vote of a voter that doesn't
--- a/internal/consensus/maintain.go
+++ b/internal/consensus/maintain.go
@@ -14,6 +14,10 @@
 	// a voter that is gone keeps its vote, fewer losses can be borne than declared; after
 	// the loss of a leader that is the time of an election and of this silence.
 	voterSilenceTimeouts = 1
+	// leavingTimeouts is the time for which a replica counts as leaving after it has told so.
+	// It is longer than the silence after which a replica is no longer live, so that one
+	// that has ended is not promoted in between.
+	leavingTimeouts = 2
 	// goneTimeouts is the silence after which a learner is taken to be gone for good
 	// and is removed.
 	goneTimeouts = 20
@@ -154,17 +158,24 @@
 // Leave tells the leader that this replica is about to stop, so that the others bear the
 // declared losses without it at once and not only when its silence is noticed. It
 // reports whether there still is a vote to give up; the caller repeats it until there
-// isn't, since the message may be lost and the leader may not be known yet.
+// isn't, since the message may be lost and the leader may not be known yet. From then on
+// the replica repeats it with each heartbeat, so that it is not promoted again.
 func (r *Replica) Leave() bool {
+	r.leaving = true
 	voters, replicas := len(r.set.voters()), len(r.set.current().GetReplicas())
 	enough := voters > r.minVoters() || replicas > voters // a learner may take the vote
 	if r.role == Leader || !r.set.isVoter(r.options.ID) || !enough {
 		return false
 	}
+	r.tellLeaving()
+	return true
+}
+
+// tellLeaving tells the leader, if it is known, that this replica is about to stop.
+func (r *Replica) tellLeaving() {
 	if r.leader != 0 {
 		r.send(&wire.ConsensusMessage{Type: wire.ConsensusMessage_TYPE_LEAVE, To: r.leader})
 	}
-	return true
 }
 
 // WantsToJoin reports whether this replica must ask to join: it belongs to no cluster,
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -53,6 +53,8 @@
 	// lostElection is the outcome of the newest election or pre-vote of this replica
 	// that ended without a majority, or nil.
 	lostElection *electionOutcome
+	// leaving is set once this replica is about to stop; see Leave.
+	leaving bool
 	// incoming is the snapshot that is being received, or nil.
 	incoming *incomingSnapshot
 
@@ -288,7 +290,7 @@
 		}
 	case wire.ConsensusMessage_TYPE_LEAVE:
 		if p := r.leading.followers[m.From]; p != nil {
-			p.leavingUntil = now.Add(r.options.ElectionTimeout)
+			p.leavingUntil = now.Add(leavingTimeouts * r.options.ElectionTimeout)
 		}
 	}
 }
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -146,6 +146,9 @@
 	case wire.ConsensusMessage_TYPE_HEARTBEAT:
 		r.commitTo(min(m.Commit, r.log.lastIndex()))
 		r.reply(now, m, &wire.ConsensusMessage{Type: wire.ConsensusMessage_TYPE_HEARTBEAT_REPLY})
+		if r.leaving {
+			r.tellLeaving()
+		}
 	case wire.ConsensusMessage_TYPE_SNAPSHOT:
 		r.handleSnapshot(now, m)
 	}
