node: test of changes after the disks of control VMs were full in turn

Report of another operator: long after the disks of the counted VMs were full one after another, changes were refused or stayed unanswered, while all processes ran.

--- a/internal/node/replica_host_test.go
+++ b/internal/node/replica_host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -93,3 +94,63 @@
 	h.close()
 	is.NoErr(<-ended)
 }
+
+// Guards against changes that are refused or not answered any more after the disks of the control VMs
+// were full one after another, never two at once, while all processes ran.
+func TestChangesAreTakenAfterFullDisksInTurn(t *testing.T) {
+	is := is.New(t)
+	const vms = 4
+	links := freeAddresses(t, vms)
+	var hosts []*replicaHost
+	var disks []*fillableDisk
+	ended := make(chan error, vms)
+	for i, address := range links {
+		settings := &daemon.Settings{Name: fmt.Sprint("vm", i), Domain: "d", Link: address, Control: links[:3], LogLevel: "fatal", Trace: "off", StopDeadline: time.Second}
+		p, err := daemon.NewProcess(settings, link.RoleControl)
+		is.NoErr(err)
+		disk := &fillableDisk{}
+		h := &replicaHost{process: p, options: &ControlOptions{Settings: settings, Data: t.TempDir(), Storage: storage.Options{FS: disk}, Bootstrap: true,
+			Control: control.Options{Leases: membership.DefaultLeaseConfig()}}}
+		is.NoErr(h.start())
+		is.NoErr(p.Serve(h, h.ready))
+		go func() { ended <- h.run() }()
+		hosts, disks = append(hosts, h), append(disks, disk)
+	}
+	voters := func() int { return hosts[0].status().Voters() }
+	for deadline := time.Now().Add(20 * time.Second); voters() < vms; time.Sleep(20 * time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // all vote
+	}
+	var version uint64
+	for turn := range 2 * vms {
+		full := turn % vms
+		disks[full].full.Store(true)
+		stopped := hosts[full].replica()
+		for began := time.Now(); time.Since(began) < 1500*time.Millisecond; {
+			version++
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_ = hosts[turn*3%vms].PutWeights(ctx, &wire.WeightsTarget{Model: "m", Version: version})
+			cancel()
+		}
+		<-stopped.Done()
+		disks[full].full.Store(false) // the next one is full at once
+	}
+	const ackLimit = 4 * time.Second
+	for i, h := range hosts {
+		version++
+		ctx, cancel := context.WithTimeout(context.Background(), ackLimit)
+		for ctx.Err() == nil && h.PutWeights(ctx, &wire.WeightsTarget{Model: "m", Version: version}) != nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+		if ctx.Err() != nil {
+			t.Errorf("VM %d acknowledges no change within %v", i, ackLimit)
+		}
+		cancel()
+	}
+	for deadline := time.Now().Add(20 * time.Second); voters() < vms; time.Sleep(20 * time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // all vote again
+	}
+	for _, h := range hosts {
+		h.close()
+		is.NoErr(<-ended)
+	}
+}
