forward: TestErrorsWhileTheCallerReadsSlowly counts its pause from the answer on

The case "write given up" failed twice beside other work (load average 24 to 28, 1 of 8 and 1 of 6 runs, and once in the whole package). Traced: the first event reached the router 0.995 s after the caller had sent its request (first_ms=995), so the write that is to be given up after 5 s began a second late, and the caller read on 1 s after those 5 s, just before. The pause of the caller counts now from when the server is asked. Checks and bounds are unchanged.

--- a/internal/forward/brokenstream_test.go
+++ b/internal/forward/brokenstream_test.go
@@ -621,6 +621,9 @@
 			is.NoErr(c.(*net.TCPConn).SetReadBuffer(64 << 10))
 			is.NoErr(c.SetDeadline(time.Now().Add(20 * time.Second)))
 			fmt.Fprint(c, "POST /p/x HTTP/1.1\r\nHost: one.example\r\nCall: c1\r\nKey: k\r\nContent-Length: 4\r\n\r\nbody")
+			for deadline := time.Now().Add(10 * time.Second); made.Load() == 0 && time.Now().Before(deadline); {
+				time.Sleep(time.Millisecond) // the pause counts from the answer on
+			}
 			time.Sleep(test.pause)
 			raw, err := io.ReadAll(c)
 			is.NoErr(err)
