forward: a target that begins with two slashes reaches the server as its caller sent it

Cause: the target was passed as the opaque part of a URL, which net/http writes with the scheme if it begins with two slashes. Change: the URL of the caller's request is passed with the address of the server. No other package passes targets that way.

--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"time"
 
 	"parsleypulley/internal/membudget"
@@ -220,9 +219,11 @@
 // newRequest returns the HTTP request of an attempt: the caller's method, target
 // and body with the given headers.
 func newRequest(r *http.Request, address string, header http.Header, body []byte) *http.Request {
+	target := *r.URL
+	target.Scheme, target.Host, target.User = "http", address, nil
 	req := &http.Request{
 		Method:        r.Method,
-		URL:           &url.URL{Scheme: "http", Host: address, Opaque: r.URL.RequestURI()},
+		URL:           &target,
 		Host:          r.Host,
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
