forward: a withdrawn request does not count against its backend server

Callers saw: a call that the router selected a server for and then did not send, since the process had stood still or the API key was gone meanwhile, left that server unused for a second by all calls of the router, with a failure at its breaker, and excluded it for the call itself. With one server left, the call got 503.

Cause: what checkSend refuses is an Unsent failure, which is passed on as BackendRefused, as if the server could not be reached.

Change: such a failure wraps errWithdrawn. It ends the attempt as cancelled, without a result, and the server may be chosen again. The outcome in logs and metrics is "withdrawn".

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -97,6 +97,15 @@
 		crashes.Add("cancelled", 1)
 		return c.Cancelled(partReason)
 	}
+	if errors.Is(fail.err, errWithdrawn) {
+		c.f.selector.failed(d, fault.Cancelled)
+		c.triedBackends = c.triedBackends[:len(c.triedBackends)-1] // it may be chosen again
+		c.outcomes = append(c.outcomes, c.backend+":withdrawn")
+		countAttempt(c.backend, "withdrawn")
+		event.ForwardAttemptFailed(event.Attempt{Request: c.call.ID, Backend: c.backend, Address: d.Backend.GetAddress(), Number: c.AttemptCount(),
+			ViewVersion: c.snapshot.Version}, "withdrawn", fail.err)
+		return c.Next(now, Unsent, nil)
+	}
 	if fail.outcome == Unsent && isTimeout(fail.err) {
 		go c.f.silence.check(d.Backend, nil, time.Time{}) // other attempts may wait there
 	}
--- a/internal/forward/paused_test.go
+++ b/internal/forward/paused_test.go
@@ -93,6 +93,29 @@
 	})
 }
 
+// Guards against a sound backend server that is avoided for a second, and by the call for good, since
+// the router itself withdrew a call to it.
+func TestWithdrawnCallDoesNotCountAgainstItsServer(t *testing.T) {
+	is := is.New(t)
+	r := newFixture(t, forwardRoute(setAtMostOnce), startBackend(t, func(c net.Conn, r *http.Request) { writeResponse(c, r, 200, "", "whole") }))
+	clock := &jumpingClock{}
+	r.f.selector.mu.Lock()
+	r.f.selector.clock = clock.now
+	r.f.selector.mu.Unlock()
+	var dials atomic.Int32
+	r.f.connPool.dialer.Control = func(network, address string, c syscall.RawConn) error {
+		if dials.Add(1) == 1 {
+			clock.jump(10 * time.Second)
+		}
+		return controlSocket(network, address, c)
+	}
+	for range 2 {
+		status, _, _, err := r.call()
+		is.NoErr(err)
+		is.Equal(status, 200)
+	}
+}
+
 // Guards against a call that is sent by a selection, with its permit and weights, from before a pause of
 // the process.
 func TestCallSelectedBeforeAPauseIsSelectedAnew(t *testing.T) {
--- a/internal/forward/send.go
+++ b/internal/forward/send.go
@@ -57,6 +57,10 @@
 	err     error
 }
 
+// errWithdrawn is wrapped by the failure of an attempt that this router decided not to send. It says
+// nothing about the backend server.
+var errWithdrawn = errors.New("the request was not sent")
+
 // send sends an attempt to address and returns the response once its headers have
 // arrived. It asks check, once it has a connection, whether the request may still be sent. It
 // calls observe for each response on the connection, also for those of other calls, which are
@@ -72,7 +76,7 @@
 	}
 	if err := check(); err != nil {
 		c.Close()
-		return nil, &failure{Unsent, err}
+		return nil, &failure{Unsent, fmt.Errorf("%w: %w", errWithdrawn, err)}
 	}
 	repeated := f.connPool.recordSent(c, callID)
 	watched.conn.Store(c)
