routes, forward: an account that is isolated leaves nothing to the accounts that share cached state

Callers saw: after a change that isolated a client account, the prompts of other accounts were served from cached state that this account had made, at all routers and for good, also after a restart of everything. (Nothing in their answers shows it; engines count the parts as found.)

Cause: the cache salt of an account followed from its present state alone: "shared" for each account that shares. An isolated account got a salt of its own, but what it had made stayed under the salt that the others went on using, and nothing shows who made which part. A call took its salt when it arrived, and kept it while it waited, when it was tried again and when its stream went on elsewhere.

Change: - The replicated route table has the generation of shared cached state, which is part of the salt, of the keys of held parts and of those of quarantined parts. A table that isolates an account which may have made state in this generation begins a new one, named by its version, so no number comes twice. Generation 0 has the salts of before.

--- a/internal/event/state.go
+++ b/internal/event/state.go
@@ -7,10 +7,10 @@
 )
 
 // ViewAdopted logs that a router has started to use a newer view. table is the
-// version of the view's route table; backends and ready count all backend servers
-// and the ready ones.
-func ViewAdopted(version, table uint64, backends, ready int) {
-	log.WithFields(log.Fields{"view": version, "table": table, "backends": backends, "ready": ready}).Info("view adopted")
+// version of the view's route table, cacheGeneration that of the cached state that
+// accounts share; backends and ready count all backend servers and the ready ones.
+func ViewAdopted(version, table, cacheGeneration uint64, backends, ready int) {
+	log.WithFields(log.Fields{"view": version, "table": table, "cache_generation": cacheGeneration, "backends": backends, "ready": ready}).Info("view adopted")
 }
 
 // ViewUnconfirmed logs that the process can no longer confirm that its view is the
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"parsleypulley/internal/fault"
-	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/prefix"
 	"parsleypulley/internal/routing"
 	"parsleypulley/internal/view"
@@ -88,8 +87,7 @@
 	if !table.Table.GetKeysRequired() || c.route.GetPublic() {
 		return nil, nil
 	}
-	// An unconfirmed view of age 0 has never been confirmed.
-	if fresh.Age >= c.f.opts.RevokeBound || !fresh.Confirmed && fresh.Age == 0 {
+	if c.f.isOutdated(fresh) {
 		return nil, staleViewError(fresh)
 	}
 	account := table.Account(c.call.APIKey)
@@ -102,6 +100,13 @@
 	return account, nil
 }
 
+// isOutdated reports whether API keys in the view may have been revoked for longer than the
+// bound allows.
+func (f *Forwarder) isOutdated(fresh view.Freshness) bool {
+	// An unconfirmed view of age 0 has never been confirmed.
+	return fresh.Age >= f.opts.RevokeBound || !fresh.Confirmed && fresh.Age == 0
+}
+
 // mayStillSend returns an error if the API key of the call is not valid any more: time has
 // passed since the call was admitted, as its body came slowly, it waited or is tried again, or
 // the process stood still.
@@ -136,6 +141,9 @@
 		if c.isFinal() {
 			return errStopEnds
 		}
+		if c.route.GetPrompts() && c.currentCacheScope() != c.cacheScope {
+			return errCacheScopeChanged
+		}
 		return c.mayStillSend()
 	}
 }
@@ -145,19 +153,6 @@
 	return fault.New(fault.Unavailable, fault.NotRun, "the view is not confirmed (age %v)", fresh.Age.Round(time.Millisecond))
 }
 
-// saltOf returns the cache salt of a client account. Accounts that share cached
-// state have the same salt.
-func saltOf(a *wire.Account) string {
-	switch {
-	case a == nil || a.GetSharesCache():
-		return "shared"
-	case a.GetCacheSalt() != "":
-		return "own/" + a.GetCacheSalt()
-	default:
-		return "account/" + a.GetName()
-	}
-}
-
 // startLimits bound the predicted start of a call. A call beyond them is refused at once: its
 // caller would give up before the response, and the work would only delay other calls.
 type startLimits struct {
@@ -226,16 +221,6 @@
 	return route.GetUrgency()
 }
 
-// versionedSalt returns the cache salt of a call for a weights version. The
-// version is part of it since cached state of other weights must not be used. It
-// returns an empty string if the route has no prompts.
-func (c *forwardedCall) versionedSalt(weightsVersion uint64) string {
-	if !c.route.GetPrompts() {
-		return ""
-	}
-	return fleet.VersionedSalt(c.accountSalt, weightsVersion)
-}
-
 // cacheTransfers returns the address from which the engine may import cached
 // state, and the address of the store to which it saves the cached state of the
 // prompt. Engines import only what they lack, so the predicted cache content of
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -22,6 +22,7 @@
 	if c.isFinal() {
 		return c.Stopped(Unsent)
 	}
+	c.updateCacheScope()
 	if reason := c.quarantined(); reason != "" {
 		crashes.Add("refused", 1)
 		return c.Quarantined(reason)
@@ -153,7 +154,7 @@
 // routingRequest returns the request for the backend server of the next attempt.
 func (c *forwardedCall) routingRequest() *routing.Request {
 	return &routing.Request{
-		Service: c.service, Account: c.accountSalt, Levels: c.promptLevels, Tried: c.excludedBackends(), Urgency: urgencyOf(c.route, c.account),
+		Service: c.service, Account: c.cacheScope.salt, Levels: c.promptLevels, Tried: c.excludedBackends(), Urgency: urgencyOf(c.route, c.account),
 		SoftwareVersion: c.softwareVersion, BoundToSoftware: c.bound,
 	}
 }
--- /dev/null
+++ b/internal/forward/cachescope.go
@@ -0,0 +1,83 @@
+package forward
+
+import (
+	"errors"
+	"strconv"
+
+	"parsleypulley/internal/fleet"
+	"parsleypulley/internal/quarantine"
+	"parsleypulley/internal/routes"
+	"parsleypulley/internal/wire"
+)
+
+// cacheScope is a set of calls that share cached state, and what is known of the parts of their
+// prompts.
+type cacheScope struct {
+	// salt is the cache salt, without the version of the weights.
+	salt string
+	// partsOwner is the account of the keys of parts in quarantine.
+	partsOwner string
+}
+
+// errCacheScopeChanged is the failure of an attempt that was not sent since the cache scope of the
+// call has changed.
+var errCacheScopeChanged = errors.New("the cache scope of the call has changed")
+
+// unconfirmedSalt is the cache salt of calls without an account at a router whose view is outdated:
+// an account of the shared scope may have been isolated since. Calls with an account are refused then.
+const unconfirmedSalt = "unconfirmed"
+
+// cacheScopeOf returns the scope of an account's calls by a route table. Calls without an account
+// belong to the scope of the accounts that share cached state.
+func cacheScopeOf(table *routes.Compiled, account *wire.Account) cacheScope {
+	switch {
+	case account == nil || account.GetSharesCache():
+		scope := cacheScope{"shared", quarantine.SharedAccount}
+		if generation := table.Table.GetSharedCacheGeneration(); generation > 0 {
+			suffix := "/" + strconv.FormatUint(generation, 10)
+			scope.salt, scope.partsOwner = scope.salt+suffix, scope.partsOwner+suffix
+		}
+		return scope
+	case account.GetCacheSalt() != "":
+		return cacheScope{"own/" + account.GetCacheSalt(), account.GetName()}
+	default:
+		return cacheScope{"account/" + account.GetName(), account.GetName()}
+	}
+}
+
+// currentCacheScope returns the scope of the call by the newest view.
+func (c *forwardedCall) currentCacheScope() cacheScope {
+	fresh := c.f.opts.Freshness() // before the view, as in ServeHTTP
+	table := c.f.opts.Views.Load().Routes
+	if c.account == nil {
+		scope := cacheScopeOf(table, nil)
+		if table.Table.GetKeysRequired() && c.f.isOutdated(fresh) {
+			scope.salt = unconfirmedSalt
+		}
+		return scope
+	}
+	if account := table.Account(c.call.APIKey); account != nil {
+		return cacheScopeOf(table, account)
+	}
+	return cacheScopeOf(table, c.account)
+}
+
+// updateCacheScope puts the call into its current scope before an attempt: it may have waited since
+// it arrived, or was sent before.
+func (c *forwardedCall) updateCacheScope() {
+	if scope := c.currentCacheScope(); scope != c.cacheScope {
+		c.cacheScope = scope
+		c.promptLevels = levelsOf(c.route, c.call, scope.salt)
+		c.partKeys = nil
+	}
+}
+
+// versionedSalt returns the cache salt of a call for a weights version. The
+// version is part of it since cached state of other weights must not be used. It
+// returns an empty string if the route has no prompts.
+func (c *forwardedCall) versionedSalt(weightsVersion uint64) string {
+	if !c.route.GetPrompts() {
+		return ""
+	}
+	return fleet.VersionedSalt(c.cacheScope.salt, weightsVersion)
+}
--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -165,11 +165,7 @@
 		for i, part := range c.call.PromptParts {
 			ids[i] = part.ID
 		}
-		account := c.account.GetName()
-		if c.account == nil || c.account.GetSharesCache() {
-			account = quarantine.SharedAccount
-		}
-		c.partKeys = quarantine.PromptParts(account, ids)
+		c.partKeys = quarantine.PromptParts(c.cacheScope.partsOwner, ids)
 	}
 	return c.partKeys
 }
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -248,10 +248,10 @@
 	body  []byte
 	// service is the service selected from those of the route.
 	service string
-	// accountSalt is the cache salt of the client account.
-	accountSalt string
-	// promptLevels are the nested prefixes of the prompt, shortest first. The last
-	// one is the whole prompt. It is empty if the route has no prompts.
+	// cacheScope is the scope of cached state of the latest attempt.
+	cacheScope cacheScope
+	// promptLevels are the nested prefixes of the prompt in this scope, shortest first. The
+	// last one is the whole prompt. It is empty if the route has no prompts.
 	promptLevels []*wire.PrefixLevel
 	RetryState
 	// stop is what the shutdown guard knows of the call.
@@ -344,8 +344,6 @@
 	if err := c.bindResumed(ctx); err != nil {
 		return c.beforeAttempts(err)
 	}
-	c.accountSalt = saltOf(c.account)
-	c.promptLevels = levelsOf(c.route, c.call, c.accountSalt)
 	c.position.lastID = c.call.LastEventID
 	c.header = endToEndHeaders(c.r.Header)
 	if err := c.takeQuota(); err != nil {
--- a/internal/forward/viewlogger.go
+++ b/internal/forward/viewlogger.go
@@ -33,7 +33,7 @@
 		}
 	}
 	retainMetrics(s)
-	event.ViewAdopted(s.Version, s.Routes.Version(), len(s.Members()), ready)
+	event.ViewAdopted(s.Version, s.Routes.Version(), s.Routes.Table.GetSharedCacheGeneration(), len(s.Members()), ready)
 }
 
 // setFreshness logs when the view becomes confirmed or unconfirmed.
--- a/internal/routes/state.go
+++ b/internal/routes/state.go
@@ -32,7 +32,9 @@
 	if s.table != nil && next.GetVersion() <= s.table.GetVersion() {
 		return &wire.RouteTableResult{Status: wire.RouteTableResult_STATUS_SUPERSEDED, Version: s.table.GetVersion()}, false
 	}
-	s.table = proto.CloneOf(next)
+	table := proto.CloneOf(next)
+	continueSharing(s.table, table)
+	s.table = table
 	s.document = change.GetDocument()
 	return &wire.RouteTableResult{Status: wire.RouteTableResult_STATUS_ACCEPTED, Version: next.GetVersion()}, true
 }
