config: the salt of an account is never that of another one, also later

What could be seen: an operator removes an account or gives it another cache_salt, and declares the old one for another account: that account then finds the cached state of the first one inside engines.

Cause: a declared salt was sent to engines as it is, and only accounts of one configuration were compared.

Change: the salt is derived from the name of the account and what is declared for it. Accounts without a declared salt keep theirs; accounts with one have their prompts computed once more after the upgrade.

Evidence: TestSaltOfAnAccountIsNeverThatOfAnother failed before. TestCompiledResolvesThePresetInForce compared the salt of an account with the declared text; it compares it with the derived salt now, which is as strict.

--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -29,6 +29,8 @@
 	// saltDomainSeparator is hashed before the name of an account, so that cache
 	// salts differ from other SHA-256 digests of the name.
 	saltDomainSeparator = "parsleypulley cache salt v1\x00"
+	// secretSaltDomainSeparator is the same for accounts with a declared secret.
+	secretSaltDomainSeparator = "parsleypulley cache salt with secret v1\x00"
 )
 
 // KeyDigest is the SHA-256 digest of a key.
@@ -103,10 +105,14 @@
 // not start with it, so that no declared salt equals a derived one.
 const DerivedSaltPrefix = "derived-"
 
-// DeriveSalt returns the cache salt of an account for which none is declared. It
-// is derived from the name of the account. Names are unique, so no two accounts
-// get the same salt.
-func DeriveSalt(name string) string {
-	sum := sha256.Sum256([]byte(saltDomainSeparator + name))
+// DeriveSalt returns the cache salt of an account, which depends on its name and on the secret
+// that is declared for it, if any. Names are unique, so no two accounts ever get the same salt,
+// also if a secret belongs to another account later.
+func DeriveSalt(name, secret string) string {
+	text := saltDomainSeparator + name
+	if secret != "" {
+		text = fmt.Sprintf("%s%d\x00%s%s", secretSaltDomainSeparator, len(name), name, secret)
+	}
+	sum := sha256.Sum256([]byte(text))
 	return DerivedSaltPrefix + hex.EncodeToString(sum[:saltBytes])
 }
--- a/internal/config/change.go
+++ b/internal/config/change.go
@@ -138,8 +138,8 @@
 	for _, key := range old.Keys {
 		e.keys.delete(key)
 	}
-	if old.saltDeclared {
-		e.salts.delete(old.Salt)
+	if old.declaredSalt != "" {
+		e.salts.delete(old.declaredSalt)
 	}
 }
 
@@ -154,14 +154,14 @@
 		}
 		e.keys.put(key, a)
 	}
-	if !a.saltDeclared {
+	if a.declaredSalt == "" {
 		return
 	}
-	if other, taken := e.salts.get(a.Salt); taken {
+	if other, taken := e.salts.get(a.declaredSalt); taken {
 		e.addProblem(at.field("cache_salt").String(), "give each account its own salt", "account %q has the same salt", other)
 		return
 	}
-	e.salts.put(a.Salt, a.Name)
+	e.salts.put(a.declaredSalt, a.Name)
 }
 
 func (e *edit) editModels() {
--- a/internal/config/compile.go
+++ b/internal/config/compile.go
@@ -77,14 +77,11 @@
 		Name:          a.Name,
 		Weight:        max(a.Weight, 1),
 		Priority:      a.Priority,
-		Salt:          a.CacheSalt,
+		Salt:          account.DeriveSalt(a.Name, a.CacheSalt),
 		Suspended:     a.Suspended,
 		MaxConcurrent: a.MaxConcurrent,
 		Quota:         a.Quota,
-		saltDeclared:  a.CacheSalt != "",
-	}
-	if !compiled.saltDeclared {
-		compiled.Salt = account.DeriveSalt(a.Name)
+		declaredSalt:  a.CacheSalt,
 	}
 	for _, key := range a.KeySha256 {
 		compiled.Keys = append(compiled.Keys, account.KeyDigest(key))
@@ -92,7 +89,7 @@
 	return compiled
 }
 
-// wire returns the account as a message. A derived cache salt is left out.
+// wire returns the account as a message.
 func (a *Account) wire() *wire.Account {
 	out := &wire.Account{
 		Name:          a.Name,
@@ -101,9 +98,7 @@
 		Suspended:     a.Suspended,
 		MaxConcurrent: a.MaxConcurrent,
 		Quota:         a.Quota,
-	}
-	if a.saltDeclared {
-		out.CacheSalt = a.Salt
+		CacheSalt:     a.declaredSalt,
 	}
 	for _, key := range a.Keys {
 		out.KeySha256 = append(out.KeySha256, key[:])
--- a/internal/config/compiled.go
+++ b/internal/config/compiled.go
@@ -37,8 +37,9 @@
 	// for no limit.
 	Quota *wire.Quota
 
-	// saltDeclared is set if Salt was declared and not derived from the name.
-	saltDeclared bool
+	// declaredSalt is the secret from which Salt is derived beside the name; empty if none
+	// is declared.
+	declaredSalt string
 }
 
 // AccountLimits are the weight, priority and limits of an account under the
--- a/internal/forward/cachescope.go
+++ b/internal/forward/cachescope.go
@@ -4,6 +4,7 @@
 	"errors"
 	"strconv"
 
+	"parsleypulley/internal/account"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/quarantine"
 	"parsleypulley/internal/routes"
@@ -29,19 +30,19 @@
 
 // cacheScopeOf returns the scope of an account's calls by a route table. Calls without an account
 // belong to the scope of the accounts that share cached state.
-func cacheScopeOf(table *routes.Compiled, account *wire.Account) cacheScope {
+func cacheScopeOf(table *routes.Compiled, a *wire.Account) cacheScope {
 	switch {
-	case account == nil || account.GetSharesCache():
+	case a == nil || a.GetSharesCache():
 		scope := cacheScope{"shared", quarantine.SharedAccount}
 		if generation := table.Table.GetSharedCacheGeneration(); generation > 0 {
 			suffix := "/" + strconv.FormatUint(generation, 10)
 			scope.salt, scope.partsOwner = scope.salt+suffix, scope.partsOwner+suffix
 		}
 		return scope
-	case account.GetCacheSalt() != "":
-		return cacheScope{"own/" + account.GetCacheSalt(), account.GetName()}
+	case a.GetCacheSalt() != "":
+		return cacheScope{"own/" + account.DeriveSalt(a.GetName(), a.GetCacheSalt()), a.GetName()}
 	default:
-		return cacheScope{"account/" + account.GetName(), account.GetName()}
+		return cacheScope{"account/" + a.GetName(), a.GetName()}
 	}
 }
 
@@ -56,8 +57,8 @@
 		}
 		return scope
 	}
-	if account := table.Account(c.call.APIKey); account != nil {
-		return cacheScopeOf(table, account)
+	if newest := table.Account(c.call.APIKey); newest != nil {
+		return cacheScopeOf(table, newest)
 	}
 	return cacheScopeOf(table, c.account)
 }
