routing, forward: what depends on weights is kept for each model of an engine

Callers saw: of engines with two models, one got no call any more once new weights of it alone were named (503, also after a restart of everything), and where the versions of the two models differ from the start, nearly all calls for either model got 503.

Cause: routers took the version of an engine's first model for that of the engine. It was compared with the version that the call's model must have, sent with the call (X-Expect-Version, 421 from the engine) and put into the cache salt, and only its change made what is known of the cache void. Each 421 took the engine from all its models for two seconds.

Change: modelState has the version, the cached state and the pauses of one model at a backend server. A call is for the pool of its service and model. Keys of held levels have the model, which cache events name. With agents, a refusal for weights concerns one model too. The log of a call has its model. Engines with one model are chosen as before.

--- a/internal/event/call.go
+++ b/internal/event/call.go
@@ -80,7 +80,9 @@
 	Wait time.Duration
 	// Prefill is the predicted time to compute the prompt tokens.
 	Prefill time.Duration
-	// Weights is the weights version that the router assumed the engine to serve.
+	// Model is the model, and Weights the version of its weights that the router assumed the
+	// engine to serve.
+	Model   string
 	Weights uint64
 	// CacheImportAddress is the address from which the engine may fetch cached state;
 	// empty for none.
@@ -107,7 +109,7 @@
 	if p := c.Prompt; p != nil {
 		fields["key"] = hexID(p.SharedPrefixKey)
 		fields["prompt"], fields["opening"], fields["cached"] = p.Tokens, p.SharedPrefixTokens, p.ExpectedCachedTokens
-		fields["wait_ms"], fields["prefill_ms"], fields["weights"] = milliseconds(p.Wait), milliseconds(p.Prefill), p.Weights
+		fields["wait_ms"], fields["prefill_ms"], fields["model"], fields["weights"] = milliseconds(p.Wait), milliseconds(p.Prefill), p.Model, p.Weights
 		fields["import"], fields["save"] = p.CacheImportAddress, p.CacheSaveAddress
 	}
 	if len(c.Outcomes) > 0 {
--- a/internal/fleet/cache.go
+++ b/internal/fleet/cache.go
@@ -31,8 +31,8 @@
 type CacheEvent struct {
 	// Stored is false when the part was evicted.
 	Stored bool
-	// Key is the PromptPartKey for the account's salt, combined with the weights
-	// version by prefix.Versioned.
+	// Key is the PromptPartKey for the account's salt, combined with the model and the
+	// version of its weights by prefix.Versioned.
 	Key    uint64
 	Tokens uint32
 }
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -240,7 +240,7 @@
 	switch {
 	case store == "":
 		return d.KVSource, ""
-	case c.f.storeMonitor.holds(store, prefix.Versioned(contextKey, d.WeightsVersion)):
+	case c.f.storeMonitor.holds(store, prefix.Versioned(contextKey, d.Model, d.CacheVersion)):
 		return store, ""
 	case d.KVSourceTokens > 0:
 		return d.KVSource, store
--- a/internal/forward/admit_test.go
+++ b/internal/forward/admit_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -8,6 +9,8 @@
 
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/routing"
+	"parsleypulley/internal/view"
+	"parsleypulley/internal/wire"
 )
 
 // Burst of long prompts of a less urgent route: they waited as long as their deadline, most of
@@ -44,3 +47,17 @@
 	is := is.New(t)
 	is.NoErr(startLimits{}.check(&routing.Decision{Wait: time.Minute}, 0)) // a call that may have run has no limit
 }
+
+// Guards against calls that run on old weights, since they name no model where there is only one.
+func TestCallWithoutModelIsForTheOnlyOne(t *testing.T) {
+	is := is.New(t)
+	for want, models := range map[string][]string{"": nil, "m": {"m"}, "?": {"m", "n"}} {
+		table := &wire.RouteTable{Services: []*wire.ForwardService{{Name: "lab", Engine: &wire.EngineShape{Models: models}}}}
+		s, err := view.FromMessage(&wire.View{RouteTable: table})
+		is.NoErr(err)
+		c := &forwardedCall{call: &Call{}, snapshot: s, service: "lab"}
+		is.Equal(c.model(), strings.Trim(want, "?"))
+		c.call.Model = "named"
+		is.Equal(c.model(), "named")
+	}
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -130,7 +130,7 @@
 		takeRetry: func(next *routing.Request) bool {
 			now := *next
 			now.Tried = c.excludedBackends() // others may have become doubtful since next was made
-			return !c.softwareDoubtful() && c.f.selector.takeRetry(c.service, c.call.Model, &now)
+			return !c.softwareDoubtful() && c.f.selector.takeRetry(c.service, &now)
 		},
 		watch: attemptWatch{deadline: c.Deadline, predicted: d.Wait + d.Prefill, stream: c.route.GetStream()}}
 	if c.route.GetStream() {
@@ -154,11 +154,22 @@
 // routingRequest returns the request for the backend server of the next attempt.
 func (c *forwardedCall) routingRequest() *routing.Request {
 	return &routing.Request{
-		Service: c.service, Account: c.cacheScope.salt, Levels: c.promptLevels, Tried: c.excludedBackends(), Urgency: urgencyOf(c.route, c.account),
+		Service: c.service, Model: c.model(), Account: c.cacheScope.salt, Levels: c.promptLevels, Tried: c.excludedBackends(), Urgency: urgencyOf(c.route, c.account),
 		SoftwareVersion: c.softwareVersion, BoundToSoftware: c.bound,
 	}
 }
 
+// model returns the model that the call is for. A call that names none is for the only model that
+// its service declares, if there is just one.
+func (c *forwardedCall) model() string {
+	if c.call.Model == "" {
+		if models := c.snapshot.Routes.Service(c.service).GetEngine().GetModels(); len(models) == 1 {
+			return models[0]
+		}
+	}
+	return c.call.Model
+}
+
 // excludedBackends returns the names of the backend servers that can't be chosen for the next attempt: those
 // tried, and those at which no stream goes on now.
 func (c *forwardedCall) excludedBackends() []string {
@@ -180,11 +191,11 @@
 // for them for a short time.
 func (c *forwardedCall) selectBackend() (*routing.Decision, error) {
 	req := c.routingRequest()
-	d, err := c.f.selector.selectBackend(c.call.Model, req, c.startLimits())
+	d, err := c.f.selector.selectBackend(req, c.startLimits())
 	if errors.Is(err, routing.ErrPermitsNeeded) {
 		c.f.permits.refresh(c.callCtx)
 		req.PermitsAsked = true
-		d, err = c.f.selector.selectBackend(c.call.Model, req, c.startLimits())
+		d, err = c.f.selector.selectBackend(req, c.startLimits())
 	}
 	return d, err
 }
@@ -202,7 +213,7 @@
 		Backend:            d.Backend,
 		Account:            c.account.GetName(),
 		Remaining:          c.Deadline.Sub(now),
-		CacheSalt:          c.versionedSalt(d.WeightsVersion),
+		CacheSalt:          c.versionedSalt(d.CacheVersion),
 		Urgency:            urgencyOf(c.route, c.account),
 		LastEventID:        c.position.lastID,
 		WeightsVersion:     d.WeightsVersion,
--- a/internal/forward/breaker_test.go
+++ b/internal/forward/breaker_test.go
@@ -62,7 +62,7 @@
 	var running callQueue
 	// send starts an attempt; it returns false if there is no backend server for it.
 	send := func(c *simulatedCall) bool {
-		d, err := sel.selectBackend("", &routing.Request{Service: "lab", Tried: c.tried}, startLimits{firstToken: time.Minute})
+		d, err := sel.selectBackend(&routing.Request{Service: "lab", Tried: c.tried}, startLimits{firstToken: time.Minute})
 		if err != nil {
 			return false
 		}
--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -27,7 +27,7 @@
 type testDialect struct{}
 
 func (testDialect) ReadCall(r *http.Request) (*Call, error) {
-	call := &Call{ID: r.Header.Get("Call"), APIKey: r.Header.Get("Key"), LastEventID: r.Header.Get("After"), BeganAs: r.Header.Get("Began")}
+	call := &Call{ID: r.Header.Get("Call"), APIKey: r.Header.Get("Key"), LastEventID: r.Header.Get("After"), BeganAs: r.Header.Get("Began"), Model: r.Header.Get("Model")}
 	if parts := r.Header.Get("Parts"); parts != "" {
 		for id := range strings.SplitSeq(parts, ",") {
 			call.PromptParts = append(call.PromptParts, PromptPart{ID: id, Tokens: 100})
--- a/internal/forward/fuzz_test.go
+++ b/internal/forward/fuzz_test.go
@@ -80,8 +80,8 @@
 		r.selector.router.SetBackends(now, []*wire.Member{{State: wire.BackendState_BACKEND_STATE_READY,
 			Backend: &wire.Backend{Name: "b0", Address: "10.0.0.1:1", Service: "lab", MaxRunning: 4, Models: []*wire.LoadedModel{{Model: "m", WeightsVersion: "1"}}}}})
 		r.ApplyLoads(digest)
-		req := &routing.Request{Service: "lab", Levels: []*wire.PrefixLevel{{Key: 1, Tokens: 100}, {Key: 2, Tokens: 200}}}
-		if d, err := r.selector.selectBackend("m", req, startLimits{}); err == nil {
+		req := &routing.Request{Service: "lab", Model: "m", Levels: []*wire.PrefixLevel{{Key: 1, Tokens: 100}, {Key: 2, Tokens: 200}}}
+		if d, err := r.selector.selectBackend(req, startLimits{}); err == nil {
 			r.selector.finished(d)
 		}
 	})
--- a/internal/forward/notices_test.go
+++ b/internal/forward/notices_test.go
@@ -90,7 +90,7 @@
 	is := is.New(t)
 	r := newFixture(t, forwardRoute(nil), "127.0.0.1:9")
 	request := func() (*routing.Decision, error) {
-		return r.f.selector.selectBackend("", &routing.Request{Service: "lab"}, startLimits{})
+		return r.f.selector.selectBackend(&routing.Request{Service: "lab"}, startLimits{})
 	}
 	d, err := request()
 	is.NoErr(err)
--- a/internal/forward/paused_test.go
+++ b/internal/forward/paused_test.go
@@ -159,15 +159,15 @@
 			sel.mu.Lock()
 			sel.clock = clock.now
 			sel.mu.Unlock()
-			d, err := sel.selectBackend("", &routing.Request{Service: "lab"}, startLimits{})
+			d, err := sel.selectBackend(&routing.Request{Service: "lab"}, startLimits{})
 			is.NoErr(err)
 			sel.recordNotices(d, ResponseInfo{FromBackend: true, LimitPerSecond: 10})
-			_, err = sel.selectBackend("", &routing.Request{Service: "lab"}, startLimits{})
+			_, err = sel.selectBackend(&routing.Request{Service: "lab"}, startLimits{})
 			is.True(errors.Is(err, routing.ErrPermitsNeeded))
 			_, sentAt := sel.permitRequest()
 			sel.permitsReceived(sentAt, &wire.PermitReply{Grants: []*wire.PermitGrant{{Server: uint64(permit.KeyOf(d.Backend)), Permits: []uint32{5}}}})
 			clock.jump(test.pause)
-			_, err = sel.selectBackend("", &routing.Request{Service: "lab"}, startLimits{})
+			_, err = sel.selectBackend(&routing.Request{Service: "lab"}, startLimits{})
 			is.Equal(err == nil, test.ok)
 		})
 	}
@@ -183,13 +183,13 @@
 	sel.mu.Lock()
 	sel.clock = clock.now
 	sel.mu.Unlock()
-	d, err := sel.selectBackend("", &routing.Request{Service: "lab"}, startLimits{})
+	d, err := sel.selectBackend(&routing.Request{Service: "lab"}, startLimits{})
 	is.NoErr(err)
 	sel.recordNotices(d, ResponseInfo{FromBackend: true, LimitPerSecond: 10})
 	_, sentAt := sel.permitRequest()
 	clock.jump(time.Second)
 	sel.permitsReceived(sentAt, &wire.PermitReply{Grants: []*wire.PermitGrant{{Server: uint64(permit.KeyOf(d.Backend)), Permits: []uint32{5}}}})
-	_, err = sel.selectBackend("", &routing.Request{Service: "lab"}, startLimits{})
+	_, err = sel.selectBackend(&routing.Request{Service: "lab"}, startLimits{})
 	is.True(err != nil)
 }
 
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -101,16 +101,15 @@
 	}
 }
 
-// selectBackend selects a backend server for a call to model, which is empty for
-// a service without models, and records the attempt as started. It sets the
-// weights versions in req. If even the best backend server is predicted to be beyond
+// selectBackend selects a backend server for a call and records the attempt as
+// started. It sets the weights versions in req. If even the best backend server is predicted to be beyond
 // limits, selectBackend returns an error whose RetryAfter is the excess. The error is
 // routing.ErrPermitsNeeded if permits should be asked for first.
-func (sel *backendSelector) selectBackend(model string, req *routing.Request, limits startLimits) (*routing.Decision, error) {
+func (sel *backendSelector) selectBackend(req *routing.Request, limits startLimits) (*routing.Decision, error) {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	now := sel.clock()
-	req.MinWeightsVersion, req.PreferredWeightsVersion = sel.weightsVersions(now, model)
+	req.MinWeightsVersion, req.PreferredWeightsVersion = sel.weightsVersions(now, req.Model)
 	d, err := sel.router.Choose(now, req)
 	if errors.Is(err, routing.ErrPermitsNeeded) {
 		return nil, err
@@ -176,7 +175,7 @@
 var faultKinds = map[Outcome]fault.Kind{
 	Unsent:          fault.BackendRefused,
 	Refused:         fault.Overloaded,
-	Misdirected:     fault.Draining,
+	Misdirected:     fault.StaleWeights, // or another backend server at the address
 	InvalidResponse: fault.BackendCrashed,
 	TimedOut:        fault.BackendTimeout,
 	Failed:          fault.Internal,
@@ -208,11 +207,11 @@
 
 // takeRetry reports whether a backend server could be selected for another attempt of a call, and if
 // so counts a retry, unless the budget of the service is used up.
-func (sel *backendSelector) takeRetry(service, model string, req *routing.Request) bool {
+func (sel *backendSelector) takeRetry(service string, req *routing.Request) bool {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	now := sel.clock()
-	req.MinWeightsVersion, req.PreferredWeightsVersion = sel.weightsVersions(now, model)
+	req.MinWeightsVersion, req.PreferredWeightsVersion = sel.weightsVersions(now, req.Model)
 	return sel.router.CanChoose(now, req) && sel.budgetFor(service).tryWithdraw(now, sel.router.RequestShare())
 }
 
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -365,10 +365,10 @@
 		o.Budget = RetryBudgetLimits{ExtraRetries: 2, Window: time.Minute, Routers: 1} // half of them for each of two routers, until more is known
 	}
 	sel := newFixtureWith(t, budget, forwardRoute(nil), "10.0.0.1:80").f.selector
-	is.True(!sel.takeRetry("lab", "", &routing.Request{Service: "lab", Tried: []string{"b0"}}))
-	is.True(!sel.takeRetry("lab", "", &routing.Request{Service: "lab", BoundToSoftware: true, SoftwareVersion: "other"}))
-	is.True(sel.takeRetry("lab", "", &routing.Request{Service: "lab"}))
-	is.True(!sel.takeRetry("lab", "", &routing.Request{Service: "lab"}))
+	is.True(!sel.takeRetry("lab", &routing.Request{Service: "lab", Tried: []string{"b0"}}))
+	is.True(!sel.takeRetry("lab", &routing.Request{Service: "lab", BoundToSoftware: true, SoftwareVersion: "other"}))
+	is.True(sel.takeRetry("lab", &routing.Request{Service: "lab"}))
+	is.True(!sel.takeRetry("lab", &routing.Request{Service: "lab"}))
 
 	var attempts atomic.Int32
 	script := func(c net.Conn, r *http.Request) {
--- a/internal/prefix/versioned.go
+++ b/internal/prefix/versioned.go
@@ -1,9 +1,16 @@
 package prefix
 
+import "github.com/cespare/xxhash/v2"
+
 // versionMultiplier is the odd constant of a multiplicative hash.
 const versionMultiplier = 0x9e3779b97f4a7c15
 
-// Versioned returns the key under which a level that was computed with the given
-// version of the weights is known. Version 0 stands for an unknown version; its
+// Versioned returns the key under which a level that was computed by a model with the
+// given version of its weights is known. No model and version 0 stand for unknown ones; their
 // key is the key of the level itself.
-func Versioned(key, weights uint64) uint64 { return key ^ weights*versionMultiplier }
+func Versioned(key uint64, model string, weights uint64) uint64 {
+	if model != "" {
+		key ^= xxhash.Sum64String(model)
+	}
+	return key ^ weights*versionMultiplier
+}
--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -45,7 +45,7 @@
 		lowest = order[len(order)-1].score
 	}
 	for rank, scored := range order {
-		dst = append(dst, newCandidate(now, scored.server, rank))
+		dst = append(dst, newCandidate(now, scored.server, req.Model, rank))
 	}
 	if len(group.servers) <= cap(dst) {
 		return dst
@@ -70,10 +70,10 @@
 	return dst, req
 }
 
-func newCandidate(now time.Time, s *server, rank int) candidate {
-	c := candidate{server: s, rank: rank, age: s.reportAge(now), heldAge: s.heldAge(now)}
-	if !s.startedAt.IsZero() {
-		c.recentlyStarted = now.Sub(s.startedAt) < assumedEmptyPeriod
+func newCandidate(now time.Time, s *server, model string, rank int) candidate {
+	c := candidate{server: s, model: s.modelState(model), rank: rank, age: s.reportAge(now), heldAge: s.heldAge(now)}
+	if !c.model.startedAt.IsZero() {
+		c.recentlyStarted = now.Sub(c.model.startedAt) < assumedEmptyPeriod
 	}
 	return c
 }
@@ -91,7 +91,7 @@
 		if !r.eligible(now, s, req) || containsServer(dst, s) {
 			continue
 		}
-		dst = append(dst, newCandidate(now, s, len(servers)))
+		dst = append(dst, newCandidate(now, s, req.Model, len(servers)))
 	}
 	return dst
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -45,6 +45,8 @@
 // candidate is one backend server under consideration.
 type candidate struct {
 	server *server
+	// model is the state of the request's model at server.
+	model *modelState
 	// rank is the rank in the rendezvous order, from 0. A random candidate has
 	// the number of backend servers of its group instead.
 	rank int
@@ -53,7 +55,7 @@
 	// heldAge is the age of what load reports say about cached prefixes.
 	heldAge time.Duration
 	// recentlyStarted is set for assumedEmptyPeriod after the start of the
-	// engine's incarnation.
+	// engine's incarnation, or with other weights of the model.
 	recentlyStarted bool
 	// hitProbability is the probability that the context is cached.
 	hitProbability float64
@@ -85,6 +87,8 @@
 	contextIndex int
 	// demotion is the demotion of the request, from 0 to maxDemotion.
 	demotion int32
+	// model is the name of the model.
+	model string
 	// preferredWeights is the version of weights below which a backend server
 	// gets outdatedWeightsPenalty.
 	preferredWeights uint64
@@ -94,7 +98,7 @@
 // kind NoBackend, or of kind Overloaded with the time after which a backend server that
 // wants no requests now, or has no room in its limit, can be used; or ErrPermitsNeeded.
 func (r *Router) Choose(now time.Time, req *Request) (*Decision, error) {
-	p := r.pools[poolKey{req.Service, req.Model, req.WeightsVersion, req.Adapter}]
+	p := r.poolOf(req)
 	if p == nil {
 		return nil, noBackend(req, len(r.servers))
 	}
@@ -108,7 +112,7 @@
 		probe, rest := r.quietCandidate(now, p, req)
 		switch {
 		case probe != nil:
-			found = append(found, newCandidate(now, probe, 0))
+			found = append(found, newCandidate(now, probe, req.Model, 0))
 		case rest > 0:
 			return nil, allQuiet(rest)
 		default:
@@ -137,7 +141,7 @@
 // CanChoose reports whether there is a backend server for an attempt, with room in its limit and not
 // one that wants no requests now. It changes nothing.
 func (r *Router) CanChoose(now time.Time, req *Request) bool {
-	p := r.pools[poolKey{req.Service, req.Model, req.WeightsVersion, req.Adapter}]
+	p := r.poolOf(req)
 	if p == nil {
 		return false
 	}
@@ -166,7 +170,7 @@
 // newPrompt returns the prompt of a request. Of more than maxLevels levels the
 // shallowest are left out.
 func newPrompt(req *Request) prompt {
-	pr := prompt{levels: req.Levels, demotion: min(max(req.Demotion, 0), maxDemotion), preferredWeights: req.PreferredWeightsVersion}
+	pr := prompt{levels: req.Levels, demotion: min(max(req.Demotion, 0), maxDemotion), model: req.Model, preferredWeights: req.PreferredWeightsVersion}
 	if len(pr.levels) == 0 {
 		return pr
 	}
@@ -240,7 +244,7 @@
 	s := c.server
 	reported := s.heldKnown && c.heldAge < maxReportAge
 	for _, h := range r.holdings {
-		if h.EngineID == s.engineID && (!reported || h.Age <= c.heldAge || question) {
+		if h.EngineID == c.model.engineID && (!reported || h.Age <= c.heldAge || question) {
 			return ownRequestEvidence(h.Age)
 		}
 	}
@@ -248,7 +252,7 @@
 	case question:
 		return evidenceNone
 	case reported:
-		return reportEvidence(c.heldAge, s.reportsHeld(key), c.rank)
+		return reportEvidence(c.heldAge, s.reportsHeld(key, c.model), c.rank)
 	case c.recentlyStarted:
 		return evidenceNone
 	default:
@@ -270,7 +274,7 @@
 		c := &found[i]
 		r.predictCost(now, p, pr, c, source, typical)
 		c.cost += r.placementPenalty(c, homeReplicas, contextSeconds)
-		if c.server.weightsVersion < pr.preferredWeights {
+		if c.model.weightsVersion < pr.preferredWeights {
 			c.cost += outdatedWeightsPenalty
 		}
 		if c.cost < best.cost {
@@ -320,11 +324,12 @@
 		return "", 0
 	}
 	var source *server
+	version := best.modelState(pr.model).cacheVersion
 	most := best.reportedTokens(now, pr)
 	start := r.random.IntN(max(1, len(p.ready.servers)))
 	for i := range min(maxImportSources, len(p.ready.servers)) {
 		s := p.ready.servers[(start+i)%len(p.ready.servers)]
-		if s == best || s.weightsVersion != best.weightsVersion || s.backend.Address == "" {
+		if s == best || s.modelState(pr.model).cacheVersion != version || s.backend.Address == "" {
 			continue
 		}
 		held := s.reportedTokens(now, pr)
@@ -417,7 +422,10 @@
 		scope:          pr.scope,
 		levels:         pr.levels,
 		evidence:       c.evidence,
-		WeightsVersion: c.server.weightsVersion,
+		Model:          c.model.name,
+		WeightsVersion: c.model.weightsVersion,
+		CacheVersion:   c.model.cacheVersion,
+		model:          c.model,
 	}
 	if c.source != nil {
 		d.KVSource = c.source.backend.AgentAddress
--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -149,7 +149,7 @@
 			if left := n.quietUntil.Sub(now); rest == 0 || left < rest {
 				rest = left
 			}
-			if n.allowsProbe(now) && s.available(now, true) && !s.triedBy(req) && r.hasRoom(now, s, req) && (probe == nil || n.quietUntil.Before(probe.notices.quietUntil)) {
+			if n.allowsProbe(now) && s.available(now, true) && s.modelState(req.Model).available(now) && !s.triedBy(req) && r.hasRoom(now, s, req) && (probe == nil || n.quietUntil.Before(probe.notices.quietUntil)) {
 				probe = s
 			}
 		}
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -131,7 +131,10 @@
 		d.server.breaker.failed(now, d.breakerRequest)
 		d.server.lastResort.failed(now)
 		r.removeFromIndex(d)
-	case fault.Draining, fault.StaleWeights, fault.Shutdown:
+	case fault.StaleWeights:
+		d.model.pausedUntil = now.Add(refusalPause)
+		d.server.breaker.endedWithoutResult(d.breakerRequest)
+	case fault.Draining, fault.Shutdown:
 		d.server.pausedUntil = now.Add(refusalPause)
 		d.server.breaker.endedWithoutResult(d.breakerRequest)
 	default:
@@ -198,13 +201,11 @@
 // context returns the deepest level that other requests may share.
 func (d *Decision) context() *wire.PrefixLevel { return d.levels[max(0, len(d.levels)-2)] }
 
-// recordHoldings records that the backend server now holds the prompt.
+// recordHoldings records that the backend server now holds the prompt. The index ignores
+// incarnations and weights that are gone.
 func (r *Router) recordHoldings(now time.Time, d *Decision) {
-	if r.servers[d.Backend.Name] != d.server {
-		return
-	}
 	for _, level := range d.levels {
-		r.index.Stored(now, d.scope, level.Key, d.server.engineID)
+		r.index.Stored(now, d.scope, level.Key, d.model.engineID)
 	}
 }
 
@@ -212,7 +213,7 @@
 // since it may no longer hold it.
 func (r *Router) removeFromIndex(d *Decision) {
 	for _, level := range d.levels {
-		r.index.Evicted(d.scope, level.Key, d.server.engineID)
+		r.index.Evicted(d.scope, level.Key, d.model.engineID)
 	}
 }
 
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,8 +26,8 @@
 // observed, in seconds.
 const defaultMeanDuration = 1
 
-// poolKey identifies a pool by what its backend servers offer: a plain service,
-// or a model on a weights version, with or without an adapter.
+// poolKey identifies a pool by what its backend servers offer: a service, a model of
+// a service, or a model on a weights version, with or without an adapter.
 type poolKey struct{ service, model, weightsVersion, adapter string }
 
 // pool is the set of backend servers that offer what its poolKey names.
@@ -87,15 +86,23 @@
 			continue
 		}
 		s := previous[m.Backend.Name]
-		if s == nil || !sameInstance(s.backend, m.Backend) {
+		var known []*modelState
+		startedAt := now
+		switch {
+		case s != nil && sameInstance(s.backend, m.Backend):
+			known = s.allModels()
+		case s != nil && sameIncarnation(s.backend, m.Backend):
 			before := s
-			s = r.newServer(now, m.Backend, first)
-			if before != nil && sameIncarnation(before.backend, m.Backend) {
-				s.keepLoad(before)
+			s, known = r.newServer(m.Backend), before.allModels()
+			s.keepLoad(before)
+		default:
+			s = r.newServer(m.Backend)
+			if first {
+				startedAt = time.Time{} // the router has just started, and the cache may be filled
 			}
 		}
 		s.backend = m.Backend
-		s.weightsVersion = weightsVersionOf(m.Backend)
+		r.setModels(s, known, startedAt)
 		s.state = m.State
 		if r.servers[m.Backend.Name] == nil {
 			r.order = append(r.order, s)
@@ -104,7 +111,11 @@
 	}
 	for name, s := range previous {
 		if r.servers[name] != s {
-			r.index.RemoveEngine(s.engineID)
+			for _, m := range s.allModels() {
+				if next := r.servers[name]; next == nil || !next.uses(m) {
+					r.index.RemoveEngine(m.engineID)
+				}
+			}
 		}
 	}
 	r.dropNotices(now)
@@ -112,29 +123,22 @@
 	r.buildPools(members)
 }
 
-// newServer returns the state for a new incarnation of a backend server. If
-// first is set, the router has just started, and the backend server may hold
-// cached state already.
-func (r *Router) newServer(now time.Time, b *wire.Backend, first bool) *server {
-	s := &server{
+// newServer returns the state for a new incarnation of a backend server.
+func (r *Router) newServer(b *wire.Backend) *server {
+	return &server{
 		backend:    b,
 		nameHash:   xxhash.Sum64String(b.Name),
 		sameDomain: b.FailureDomain == r.domain,
 		key:        permit.KeyOf(b),
-		engineID:   r.index.AddEngine(),
 		notices:    r.noticesOf(b),
 	}
-	if !first {
-		s.startedAt = now
-	}
-	return s
 }
 
 // sameInstance reports whether what was learned about a still applies to b.
 // Besides the incarnations, it compares the weights of an engine without an
 // agent, which loses its cached state when it loads other weights.
 func sameInstance(a, b *wire.Backend) bool {
-	return sameIncarnation(a, b) && (a.Address == "" || weightsVersionOf(a) == weightsVersionOf(b))
+	return sameIncarnation(a, b) && (a.Address == "" || sameWeights(a, b))
 }
 
 // sameIncarnation reports whether a and b are the same run of a backend server.
@@ -142,19 +146,6 @@
 	return a.AgentIncarnation == b.AgentIncarnation && a.EngineIncarnation == b.EngineIncarnation
 }
 
-// weightsVersionOf returns the weights version of the first model that a
-// backend server holds; 0 if there is none or the version is not a number.
-func weightsVersionOf(b *wire.Backend) uint64 {
-	if len(b.Models) == 0 {
-		return 0
-	}
-	version, err := strconv.ParseUint(b.Models[0].WeightsVersion, 10, 64)
-	if err != nil {
-		return 0
-	}
-	return version
-}
-
 // buildPools adds the backend servers to the pools of what they offer, in the
 // order of the view. A pool that exists already is kept with what it has learned,
 // since attempts in progress refer to it.
@@ -170,7 +161,11 @@
 			continue
 		}
 		if s.backend.Service != "" {
+			for _, loaded := range s.backend.Models {
+				r.addToPool(previous, poolKey{service: s.backend.Service, model: loaded.Model}, s)
+			}
 			r.addToPool(previous, poolKey{service: s.backend.Service}, s)
+			continue
 		}
 		for _, loaded := range s.backend.Models {
 			key := poolKey{model: loaded.Model, weightsVersion: loaded.WeightsVersion}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -80,7 +80,7 @@
 // that of the time for prefill, whichever is larger. It is 0 if there is no
 // such backend server.
 func (r *Router) Occupancy(now time.Time, req *Request) float64 {
-	p := r.pools[poolKey{req.Service, req.Model, req.WeightsVersion, req.Adapter}]
+	p := r.poolOf(req)
 	if p == nil || len(p.ready.servers) == 0 {
 		return 0
 	}
@@ -98,7 +98,8 @@
 // depends on.
 type Request struct {
 	Account, Model, WeightsVersion, Adapter string
-	// Service is the name of a plain service; empty for a model.
+	// Service is the name of a service, whose backend servers may be engines with one or
+	// several models; if it is empty, all engines with the model are meant.
 	Service string
 	// Levels are the nested levels of the prompt, shallowest first; empty for a
 	// plain service.
@@ -114,11 +115,11 @@
 	PermitsAsked bool
 	// Tried lists the names of backend servers that must not be chosen again.
 	Tried []string
-	// PreferredWeightsVersion is the version of weights below which a backend
+	// PreferredWeightsVersion is the version of the model's weights below which a backend
 	// server is chosen only if the wait at the others is long; 0 for no
 	// preference.
 	PreferredWeightsVersion uint64
-	// MinWeightsVersion is the version of weights below which no backend server
+	// MinWeightsVersion is the version of the model's weights below which no backend server
 	// is chosen.
 	MinWeightsVersion uint64
 	// SoftwareVersion is the only version of the backend servers' software that may be
@@ -133,6 +134,18 @@
 	lastResort bool
 }
 
+// poolOf returns the pool of the request, or nil. All backend servers of a service get requests for
+// a model that none of them announces.
+func (r *Router) poolOf(req *Request) *pool {
+	if req.Service == "" {
+		return r.pools[poolKey{model: req.Model, weightsVersion: req.WeightsVersion, adapter: req.Adapter}]
+	}
+	if p := r.pools[poolKey{service: req.Service, model: req.Model}]; p != nil {
+		return p
+	}
+	return r.pools[poolKey{service: req.Service}]
+}
+
 // Router chooses among the backend servers of one view.
 type Router struct {
 	// domain is the failure domain of the router.
@@ -229,12 +242,19 @@
 	// KVSourceTokens is the number of prompt tokens that an engine without an
 	// agent at KVSource is reported to hold.
 	KVSourceTokens uint32
-	// WeightsVersion is the version of the weights that the backend server holds;
-	// 0 if unknown.
+	// Model is the name of the model that the backend server runs the request on; empty if
+	// unknown.
+	Model string
+	// WeightsVersion is the version of the weights of this model that the backend server
+	// holds; 0 if unknown.
 	WeightsVersion uint64
+	// CacheVersion identifies the weights in salts and keys of cached state.
+	CacheVersion uint64
 
 	server *server
-	pool   *pool
+	// model is the state of the request's model at server.
+	model *modelState
+	pool  *pool
 	// urgency is the Urgency of the request.
 	urgency uint32
 	// scope is the prefix.Scope.Seed of the request.
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -434,7 +434,7 @@
 	const instruction, context, question = 1 << 60, 2 << 60, 3 << 60
 	hold := func(name string, weights uint64, keys ...uint64) {
 		for i := range keys {
-			keys[i] = prefix.Versioned(keys[i], weights)
+			keys[i] = prefix.Versioned(keys[i], "m", weights)
 		}
 		r.LoadReported(now, name, &wire.Load{EngineIncarnation: 1, Held: prefix.NewFilter(keys).Marshal()})
 	}
--- a/internal/routing/server.go
+++ b/internal/routing/server.go
@@ -44,9 +44,10 @@
 type server struct {
 	backend *wire.Backend
 	state   wire.BackendState
-	// weightsVersion is the version of the weights that the backend server
-	// holds; 0 if unknown.
-	weightsVersion uint64
+	// models holds the state of each model that the backend server announces, and otherModel
+	// that of requests without a known model; nil if there is one model.
+	models     []*modelState
+	otherModel *modelState
 	// nameHash is the hash of the backend server's name, for rendezvous
 	// hashing.
 	nameHash uint64
@@ -54,12 +55,8 @@
 	// domain.
 	sameDomain bool
 	// key identifies the incarnation in Router.permits.
-	key permit.Key
-	// engineID identifies the incarnation in Router.index.
-	engineID prefix.EngineID
-	// startedAt is when this incarnation began; zero if unknown.
-	startedAt time.Time
-	breaker   currentBreaker
+	key     permit.Key
+	breaker currentBreaker
 	// lastResort is a breaker that counts all results. If there is no other backend server, it
 	// decides in the place of breaker, so that most calls are served if all backend servers fail
 	// a part of their requests.
@@ -149,14 +146,18 @@
 }
 
 // keepLoad takes over the load report of an earlier state of the same engine, which has
-// loaded other weights: its requests go on.
+// loaded other weights: its requests go on. If it has other models, it may still hold what it
+// has reported; the keys of held levels tell models and versions apart.
 func (s *server) keepLoad(before *server) {
 	s.report, s.reportAt, s.utilization, s.learntSpeed = before.report, before.reportAt, before.utilization, before.learntSpeed
+	if len(before.models) > 1 {
+		s.held, s.heldKnown, s.heldAt = before.held, before.heldKnown, before.heldAt
+	}
 }
 
 // eligible reports whether a request may go to the backend server.
 func (s *server) eligible(now time.Time, req *Request) bool {
-	return s.notices.allows(now) && s.available(now, req.lastResort) && s.fits(req) && !s.triedBy(req)
+	return s.notices.allows(now) && s.available(now, req.lastResort) && s.fits(req) && s.modelState(req.Model).available(now) && !s.triedBy(req)
 }
 
 // available reports whether the backend server is used, as far as this router's own
@@ -170,7 +171,7 @@
 
 // fits reports whether the backend server can serve the request.
 func (s *server) fits(req *Request) bool {
-	return s.weightsVersion >= req.MinWeightsVersion && (!req.BoundToSoftware || s.backend.SoftwareVersion == req.SoftwareVersion)
+	return s.modelState(req.Model).weightsVersion >= req.MinWeightsVersion && (!req.BoundToSoftware || s.backend.SoftwareVersion == req.SoftwareVersion)
 }
 
 // triedBy reports whether the request was sent to the backend server before.
@@ -323,10 +324,10 @@
 
 // reportsHeld reports whether, according to the last report, the engine holds a
 // level. In reports on engines without an agent the key of a level depends on
-// the version of the weights.
-func (s *server) reportsHeld(key uint64) bool {
+// the model and the version of its weights.
+func (s *server) reportsHeld(key uint64, m *modelState) bool {
 	if s.backend.Address != "" {
-		key = prefix.Versioned(key, s.weightsVersion)
+		key = prefix.Versioned(key, m.name, m.cacheVersion)
 	}
 	return s.held.Has(key)
 }
@@ -337,9 +338,10 @@
 	if !s.heldKnown || s.heldAge(now) >= maxReportAge {
 		return 0
 	}
+	m := s.modelState(pr.model)
 	tokens := uint32(0)
 	for _, level := range pr.levels[:len(pr.levels)-1] {
-		if !s.reportsHeld(level.Key) {
+		if !s.reportsHeld(level.Key, m) {
 			break
 		}
 		tokens = level.Tokens
