--- a/internal/forward/crash.go
+++ b/internal/forward/crash.go
@@ -158,16 +158,12 @@
 	return quarantine.Key{Account: account, Fingerprint: string(c.fingerprint)}
 }
 
-// sharedParts returns the keys of the parts of the prompt that other calls for the same model may have too.
-// A part that ends the servers of one model may be served by another, which would clear it.
+// sharedParts returns the keys of the parts of the prompt that other calls may have too.
 func (c *forwardedCall) sharedParts() []quarantine.Key {
 	if c.partKeys == nil && c.route.GetPrompts() {
 		ids := make([]string, len(c.call.PromptParts))
 		for i, part := range c.call.PromptParts {
 			ids[i] = part.ID
-			if model := c.model(); model != "" {
-				ids[i] = model + "/" + part.ID
-			}
 		}
 		c.partKeys = quarantine.PromptParts(c.cacheScope.partsOwner, ids)
 	}
