forward: evidence against parts of prompts outlives an isolation

Cause: made the evidence one of the generation, so that it began anew with each isolation.

Change: the accounts that share keep their evidence, as before. An isolated account has its own.

--- a/internal/forward/cachescope.go
+++ b/internal/forward/cachescope.go
@@ -11,12 +11,13 @@
 	"parsleypulley/internal/wire"
 )
 
-// cacheScope is a set of calls that share cached state, and what is known of the parts of their
-// prompts.
+// cacheScope is a set of calls that share cached state, and evidence against parts of their prompts.
 type cacheScope struct {
 	// salt is the cache salt, without the version of the weights.
 	salt string
-	// partsOwner is the account of the keys of parts in quarantine.
+	// partsOwner is the account of the keys of parts in quarantine. Unlike the salt, it is the same
+	// in all generations of shared state: a part that ends backend servers goes on to do so, and
+	// would end as many again before it is refused.
 	partsOwner string
 }
 
@@ -35,8 +36,7 @@
 	case a == nil || a.GetSharesCache():
 		scope := cacheScope{"shared", quarantine.SharedAccount}
 		if generation := table.Table.GetSharedCacheGeneration(); generation > 0 {
-			suffix := "/" + strconv.FormatUint(generation, 10)
-			scope.salt, scope.partsOwner = scope.salt+suffix, scope.partsOwner+suffix
+			scope.salt += "/" + strconv.FormatUint(generation, 10)
 		}
 		return scope
 	case a.GetCacheSalt() != "":
--- a/internal/forward/cachescope_test.go
+++ b/internal/forward/cachescope_test.go
@@ -132,9 +132,9 @@
 	is.Equal(salts.seen, []string{"shared/0", "unconfirmed/0"})
 }
 
-// Guards against parts of prompts that are refused by the reports of an account that does not share them
-// any more.
-func TestEvidenceAgainstPartsEndsWithTheirScope(t *testing.T) {
+// Guards against a part that ends as many backend servers again after an account was isolated, until it is
+// refused anew.
+func TestEvidenceAgainstPartsOutlivesAnIsolation(t *testing.T) {
 	is := is.New(t)
 	var salts salts
 	r := newFixture(t, forwardRoute(setPrompts), startBackend(t, func(c net.Conn, r *http.Request) { salts.add(r); writeResponse(c, r, 200, "", "whole") }))
@@ -150,5 +150,9 @@
 	for end := time.Now().Add(10 * crashreport.PartConfirmTime); status(0) != refused; time.Sleep(10 * time.Millisecond) {
 		is.True(time.Now().Before(end))
 	}
-	is.Equal(status(7), 200)
+	is.Equal(status(7), refused)
+	r.setSharing(false, 7)
+	isolated, _, _, err := r.call("Parts", "a,b")
+	is.NoErr(err)
+	is.Equal(isolated, 200) // an isolated account has evidence of its own
 }
