forward: a begun stream is left only for a server that takes it

Its server was silent while its queue of new connections was full, so that a check could not reach it; another server could be selected, a retry was taken, the attempt was ended, and the other server then refused.

Cause: that another server can be selected does not mean that it takes the request. The same for streams that are ended as stalled.

Change: the request that goes on with the stream (successor) is sent before the attempt is ended. That ends once the successor's response has begun, or after 250 ms without an answer, as two servers must not work on a stream for 400 ms. If the successor is refused, fails or may not join, or if the stream goes on meanwhile, the successor is ended and the stream stays. Each successor takes a retry and counts among the attempts of the route.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -34,6 +34,9 @@
 		runDoubts.Add("not_moved", 1)
 		return Step{Abort: true}
 	}
+	if s := c.takeSuccessor(); s != nil {
+		return c.attemptAt(s.sentAt, s.decision, s)
+	}
 	d, err := c.selectBackend()
 	if c.isFinal() { // it may have waited for permits
 		if err == nil {
@@ -51,6 +54,12 @@
 		}
 		return step
 	}
+	return c.attemptAt(now, d, nil)
+}
+
+// attemptAt runs an attempt at a backend server, which began at the given time. successor is the attempt if it
+// was sent already, and nil otherwise.
+func (c *forwardedCall) attemptAt(now time.Time, d *routing.Decision, s *successor) Step {
 	if err := c.quota.BeginAttempt(); err != nil {
 		c.f.selector.failed(d, fault.Cancelled)
 		return Step{Err: fault.From(err)}
@@ -61,10 +70,18 @@
 	c.triedBackends = append(c.triedBackends, c.backend)
 	c.recordKnownCrashes()
 	var cancel context.CancelCauseFunc
-	c.ctx, cancel = context.WithCancelCause(c.callCtx)
+	if s != nil {
+		c.ctx, cancel, c.watched = s.ctx, s.cancel, s.watched
+	} else {
+		c.ctx, cancel = context.WithCancelCause(c.callCtx)
+		c.watched = c.newWatch(d, cancel)
+	}
 	defer cancel(nil)
 	c.f.crashes.begin(c, cancel)
-	c.watch(d, cancel)
+	if c.route.GetStream() {
+		c.allowEndOfStalled()
+	}
+	c.f.silence.begin(c.watched)
 	returned := false
 	defer func() {
 		if !returned { // a panic ends this call only: what it held is given back
@@ -73,9 +90,12 @@
 			c.f.selector.failed(d, fault.Internal)
 		}
 	}()
-	fail, step := c.runAttempt(now, d)
+	fail, step := c.runAttempt(now, d, s)
 	returned = true
 	c.f.silence.end(c.watched)
+	for _, refused := range c.watched.dropped {
+		c.countDropped(refused)
+	}
 	c.f.crashes.end(c)
 	c.quota.EndAttempt(fail == nil || fail.outcome.mayHaveRun())
 	if fail == nil {
@@ -124,20 +144,28 @@
 	return c.Next(now, fail.outcome, func() bool { return retryTaken || c.f.selector.tryRetry(c.service) })
 }
 
-// watch starts to watch an attempt.
-func (c *forwardedCall) watch(d *routing.Decision, cancel context.CancelCauseFunc) {
-	c.watched = &watchedAttempt{backend: d.Backend, request: c.call.ID, cancel: cancel,
-		takeRetry: func(next *routing.Request) bool {
-			now := *next
-			now.Tried = c.excludedBackends() // others may have become doubtful since next was made
-			return !c.softwareDoubtful() && c.f.selector.takeRetry(c.service, &now)
-		},
+// newWatch returns the watch of an attempt.
+func (c *forwardedCall) newWatch(d *routing.Decision, cancel context.CancelCauseFunc) *watchedAttempt {
+	a := &watchedAttempt{backend: d.Backend, request: c.call.ID, cancel: cancel, call: c,
 		watch: attemptWatch{deadline: c.Deadline, predicted: d.Wait + d.Prefill, stream: c.route.GetStream()}}
+	a.takeRetry = func(next *routing.Request) bool {
+		// Others may have become doubtful, or have refused, since next was made.
+		next.Tried = slices.Clone(c.excludedBackends())
+		executions := c.PossibleExecutions() + 1
+		for _, s := range a.dropped {
+			next.Tried = append(next.Tried, s.decision.Backend.GetName())
+			if s.mayHaveRun() {
+				executions++
+			}
+		}
+		now := *next
+		return executions < c.MaxAttempts && c.AttemptCount()+len(a.dropped) < c.MaxAttempts+extraAttempts &&
+			!c.softwareDoubtful() && c.f.selector.takeRetry(c.service, &now)
+	}
 	if c.route.GetStream() {
-		c.watched.pauses = c.f.silence.pauses.of(c.route.GetName())
-		c.allowEndOfStalled()
+		a.pauses = c.f.silence.pauses.of(c.route.GetName())
 	}
-	c.f.silence.begin(c.watched)
+	return a
 }
 
 // allowEndOfStalled tells the watch of the current attempt whether it may be ended when it stalls. A
@@ -203,26 +231,17 @@
 // runAttempt sends an attempt to the chosen backend server and forwards its
 // response. It returns either a failure, which attempt passes to RetryState.Next, or
 // the next step of the call.
-func (c *forwardedCall) runAttempt(now time.Time, d *routing.Decision) (*failure, Step) {
-	header := c.header.Clone()
-	cacheImportAddress, cacheSaveAddress := c.cacheTransfers(d)
-	c.decision, c.cacheImportAddress, c.cacheSaveAddress = d, cacheImportAddress, cacheSaveAddress
-	c.f.dialect.PrepareAttempt(header, &Attempt{
-		CacheImportAddress: cacheImportAddress,
-		CacheSaveAddress:   cacheSaveAddress,
-		Backend:            d.Backend,
-		Account:            c.account.GetName(),
-		Remaining:          c.Deadline.Sub(now),
-		CacheSalt:          c.versionedSalt(d.CacheVersion),
-		Urgency:            urgencyOf(c.route, c.account),
-		LastEventID:        c.position.lastID,
-		WeightsVersion:     d.WeightsVersion,
-	})
-	if header.Get("User-Agent") == "" {
-		header.Set("User-Agent", "") // keeps net/http from adding its own
-	}
-	req := newRequest(c.r, d.Backend.GetAddress(), header, c.body)
-	resp, fail := c.f.send(c.ctx, c.watched, d.Backend.GetAddress(), req, c.body, c.call.ID, !c.Idempotent, c.checkSend(), func(info ResponseInfo) { c.f.recordNotices(d, info) })
+func (c *forwardedCall) runAttempt(now time.Time, d *routing.Decision, s *successor) (*failure, Step) {
+	c.decision = d
+	c.cacheImportAddress, c.cacheSaveAddress = c.cacheTransfers(d)
+	var resp *response
+	var fail *failure
+	if s != nil {
+		<-s.done
+		resp, fail = s.response, s.failure
+	} else {
+		resp, fail = c.sendTo(c.ctx, c.watched, d, now, c.position.lastID)
+	}
 	if fail != nil {
 		return fail, Step{}
 	}
@@ -499,6 +518,7 @@
 			return nil, Step{Err: fault.New(fault.Cancelled, fault.Ran, "the caller has left: %w", err)}
 		}
 		c.position.sent(event, id, progress)
+		c.watched.reached(c.position.lastID)
 		if resumable := c.route.GetResumable() && !c.position.unknown; resumable != c.Resumable || !delivered {
 			c.Resumable, delivered = resumable, true
 			c.allowEndOfStalled()
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -350,6 +350,7 @@
 		return c.beforeAttempts(err)
 	}
 	c.f.selector.recordCall(c.service)
+	defer c.dropSuccessor()
 	for {
 		step := c.attempt()
 		switch {
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -101,6 +101,10 @@
 // RecordAttempt counts an attempt. It must be called before the attempt is sent.
 func (s *RetryState) RecordAttempt() { s.attempts++ }
 
+// RecordPossibleExecution counts an attempt whose outcome does not pass through Next, and that may have
+// been executed.
+func (s *RetryState) RecordPossibleExecution() { s.possibleExecutions++ }
+
 // RecordDelivery records that the caller has received part of a response.
 func (s *RetryState) RecordDelivery() { s.delivered = true }
 
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -12,6 +12,7 @@
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/reach"
+	"parsleypulley/internal/recovery"
 	"parsleypulley/internal/routing"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
@@ -25,7 +26,8 @@
 	reportTimeout  = time.Second
 )
 
-// silence counts checks of backend servers by result, attempts that ended as their backend
+// silence counts checks of backend servers by result, successors of begun streams by what became of them
+// ("successors_used", "_dropped", and "_none" if no server could be selected), attempts that ended as their backend
 // server was unreachable ("attempts_ended"), streams ended as stalled ("stalled"), how often one was
 // not ended as its call could not go on elsewhere ("stalled_kept"), and results that were not used
 // since something arrived from the backend server meanwhile ("contradicted"). Of the attempts whose
@@ -96,6 +98,12 @@
 	// retryTaken is set if the attempt was ended after takeRetry had taken a retry. It
 	// must not be read before the attempt's context has ended.
 	retryTaken bool
+	// call sends the successor of the attempt; nil in tests, in which attempts end at once.
+	call *forwardedCall
+	// successor is the attempt that goes on with the stream, if it was sent already, and dropped holds
+	// those that were not used. Neither must be read before end has returned.
+	successor *successor
+	dropped   []*successor
 
 	mu sync.Mutex
 	// delivered is set if the caller has received a part of the response.
@@ -106,6 +114,12 @@
 	timer *time.Timer
 	// ended is set once the attempt has ended or is being ended.
 	ended bool
+	// after is the ID of the last event that the caller has got, and events counts those with data.
+	after  string
+	events int
+	// moving is closed when the successor that is being sent is accepted or dropped, and over when
+	// the attempt has ended; nil if none is being sent.
+	moving, over chan struct{}
 	// shortPauses counts the pauses that are not recorded yet.
 	shortPauses int64
 }
@@ -137,12 +151,26 @@
 	delete(g.attempts[address], a)
 	g.mu.Unlock()
 	a.mu.Lock()
-	defer a.mu.Unlock()
 	a.ended = true
 	a.timer.Stop()
 	if a.shortPauses > 0 {
 		a.pauses.recordPauses(time.Now(), shortPause, a.shortPauses)
 	}
+	moving := a.moving
+	if moving != nil {
+		close(a.over)
+	}
+	a.mu.Unlock()
+	if moving != nil {
+		<-moving
+	}
+}
+
+// reached records the ID of the last event that the caller has got.
+func (a *watchedAttempt) reached(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.after = id
 }
 
 // expectNoEvents records that the response is no stream, also on a streaming route.
@@ -178,8 +206,58 @@
 // can go on at another backend server now, and if so takes a retry from the budget for that. a.mu must be
 // held.
 func (a *watchedAttempt) goesOnElsewhere(now time.Time) bool {
-	a.retryTaken = a.watch.mayEnd && a.watch.deadline.Sub(now) >= minAttemptTime && a.takeRetry(&a.next)
-	return a.retryTaken
+	return a.moving == nil && a.watch.mayEnd && a.watch.deadline.Sub(now) >= successorWait+minAttemptTime && a.takeRetry(&a.next)
+}
+
+// moveOn sends the request that goes on with the stream elsewhere, and then ends the attempt for the given cause. It
+// goes on if nobody takes the request, if it makes progress meanwhile or, where lost is not nil since the server
+// could not be reached, if anything arrives from there. moved is called before it is ended. a.mu must be held, and
+// goesOnElsewhere must have returned true.
+func (a *watchedAttempt) moveOn(cause error, lost *lostServer, moved func()) {
+	if a.call == nil {
+		a.ended, a.lost, a.retryTaken = true, lost, true
+		moved()
+		a.cancel(cause)
+		return
+	}
+	a.moving, a.over = make(chan struct{}), make(chan struct{})
+	next, after, events, began, number := a.next, a.after, a.events, time.Now(), a.call.AttemptCount()+len(a.dropped)+1
+	go recovery.Run("successor of a stream", func() {
+		defer a.endMove()
+		s := a.call.sendSuccessor(&next, after, number)
+		if s == nil {
+			silence.Add("successors_none", 1)
+			return
+		}
+		wait := time.NewTimer(successorWait)
+		defer wait.Stop()
+		select {
+		case <-s.done:
+		case <-wait.C:
+		case <-a.over:
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		goesOn := a.events != events || lost != nil && a.heardSince(began)
+		if a.ended || goesOn || !s.accepted(a.call) {
+			silence.Add("successors_dropped", 1)
+			a.dropped = append(a.dropped, s)
+			s.drop(a.call)
+			return
+		}
+		silence.Add("successors_used", 1)
+		a.ended, a.lost, a.retryTaken, a.successor = true, lost, true, s
+		moved()
+		a.cancel(cause)
+	})
+}
+
+// endMove records that no successor is being sent any more.
+func (a *watchedAttempt) endMove() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.moving)
+	a.moving, a.over = nil, nil
 }
 
 // wait records that the router waits for progress of the attempt.
@@ -192,6 +270,7 @@
 // eventArrived records an event.
 func (a *watchedAttempt) eventArrived(now time.Time) {
 	a.mu.Lock()
+	a.events++
 	pause, first := a.watch.eventArrived(now)
 	if !first && pause <= shortPause {
 		a.shortPauses++
@@ -216,12 +295,30 @@
 	silentSince := a.watch.waitingSince
 	action, next := a.watch.tick(now, a.pauses.usualPauses)
 	pause, sentFor, started := now.Sub(a.watch.waitingSince), now.Sub(a.watch.sentAt), a.watch.started
-	if action == endStalled && a.delivered && !a.goesOnElsewhere(now) {
-		silence.Add("stalled_kept", 1)
-		action, next = a.watch.keep(now, a.pauses.usualPauses)
+	stalled := func() {
+		// Otherwise a route whose streams have become slower would never be known as slow.
+		if started {
+			a.pauses.recordPauses(now, pause, 1)
+		} else {
+			a.pauses.recordFirst(now, sentFor)
+		}
+		silence.Add("stalled", 1)
+		event.StreamStalled(a.request, a.backend.GetName(), a.backend.GetAddress(), pause)
 	}
-	if action == endStalled {
+	switch {
+	case action != endStalled:
+	case !a.delivered:
 		a.ended = true
+	case a.goesOnElsewhere(now):
+		a.moveOn(errStalled, nil, stalled)
+		if a.ended {
+			a.mu.Unlock()
+			return
+		}
+		action, next = a.watch.keep(now, a.pauses.usualPauses)
+	default:
+		silence.Add("stalled_kept", 1)
+		action, next = a.watch.keep(now, a.pauses.usualPauses)
 	}
 	if action == keepWaiting {
 		a.timer.Reset(next.Sub(now))
@@ -229,14 +326,7 @@
 	a.mu.Unlock()
 	switch action {
 	case endStalled:
-		// Otherwise a route whose streams have become slower would never be known as slow.
-		if started {
-			a.pauses.recordPauses(now, pause, 1)
-		} else {
-			a.pauses.recordFirst(now, sentFor)
-		}
-		silence.Add("stalled", 1)
-		event.StreamStalled(a.request, a.backend.GetName(), a.backend.GetAddress(), pause)
+		stalled()
 		a.cancel(errStalled)
 	case checkServer:
 		began := a.guard.check(a.backend, a, silentSince)
@@ -333,15 +423,18 @@
 	for a := range attempts {
 		a.mu.Lock()
 		switch {
-		case a.ended:
+		case a.ended || a.moving != nil:
 		case a.delivered && (finding.Result == reach.NoneReachable || !a.goesOnElsewhere(now)):
 			silence.Add("begun_kept", 1)
+		case a.delivered:
+			begun++
+			a.moveOn(errUnreachable, lost, func() {
+				silence.Add("attempts_ended", 1)
+				silence.Add("begun_ended", 1)
+			})
 		default:
 			a.ended, a.lost = true, lost
 			ending = append(ending, a)
-			if a.delivered {
-				begun++
-			}
 		}
 		if a.ended {
 			delete(attempts, a)
@@ -352,13 +445,12 @@
 	if finding.Result == reach.Unreachable {
 		g.connPool.closeIdle(address)
 	}
-	silence.Add("begun_ended", int64(begun))
 	for _, a := range ending {
 		silence.Add("attempts_ended", 1)
 		a.cancel(errUnreachable)
 	}
 	if finding.Result == reach.Unreachable {
-		g.report(b, len(ending), begun)
+		g.report(b, len(ending)+begun, begun)
 	}
 }
 
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -277,3 +277,12 @@
 	}
 	return fault.New(fault.NoBackend, fault.NotRun, "no backend server for %s (%d known)", what, known)
 }
+
+// Running returns the number of requests of this router that have not ended.
+func (r *Router) Running() int {
+	n := 0
+	for _, s := range r.servers {
+		n += s.running
+	}
+	return n
+}
