membership: an incarnation that has left does not come back by a late announcement

Callers saw: after a change of the control leader, a heartbeat that was seconds late brought a backend server back that had left. It got new work until it exited, and bookings that ran then were lost.

Cause: that an incarnation has left was known to the leases of one term; the replicated table forgot it.

One that expires while it drains by its own notice counts too. Servers that were silent, or that an operator drains, come back as before.

--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -24,6 +24,7 @@
 		FleetTerm:     m.fleet.Term(),
 		Retired:       m.members.Retired(),
 		Drained:       m.members.Drained(),
+		Departed:      m.members.Departed(),
 		AppliedIndex:  m.applied,
 		ClockMs:       m.clock.ms,
 		ClockSeenMs:   m.clock.lastLeaderMS,
@@ -51,7 +52,7 @@
 	if err := m.log.Reset(snapshot.GetView()); err != nil {
 		return fmt.Errorf("restore the view: %w", err)
 	}
-	m.members.Restore(snapshot.GetView().GetMembers(), snapshot.GetDrained(), snapshot.GetRetired())
+	m.members.Restore(snapshot.GetView().GetMembers(), snapshot.GetDrained(), snapshot.GetRetired(), snapshot.GetDeparted())
 	m.once.Restore(snapshot.GetOnce())
 	m.quarantine.Restore(snapshot.GetCrashCounts(), snapshot.GetRecentCrashes())
 	m.routes.Restore(snapshot.GetView().GetRouteTable(), snapshot.GetRouteDocument(), snapshot.GetView().GetWeights())
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -27,6 +27,8 @@
 	// retired holds the names retired by operators. They too stay retired when leases
 	// expire and incarnations change.
 	retired nameSet
+	// departed holds the incarnations that have left.
+	departed departedSet
 }
 
 // NewState returns an empty table.
@@ -80,7 +82,14 @@
 		return s.transition(member, wire.BackendState_BACKEND_STATE_LOADING, wire.BackendState_BACKEND_STATE_READY)
 	case wire.BackendChange_KIND_LOADED:
 		return s.finishLoading(member, change.GetBackend())
-	case wire.BackendChange_KIND_EXPIRE, wire.BackendChange_KIND_LEAVE:
+	case wire.BackendChange_KIND_LEAVE:
+		s.departed.add(departedKeyOf(member.GetBackend()))
+		return s.remove(member)
+	case wire.BackendChange_KIND_EXPIRE:
+		// The leader of a later term does not know that a draining backend server has said that it leaves.
+		if member.GetState() == wire.BackendState_BACKEND_STATE_DRAINING && !s.drained.has(change.GetName()) && !member.GetRetired() {
+			s.departed.add(departedKeyOf(member.GetBackend()))
+		}
 		return s.remove(member)
 	}
 	return refused(fmt.Sprintf("unknown kind of change %d", change.GetKind()))
@@ -96,6 +105,9 @@
 		return refused(fmt.Sprintf("backend server %q is retired; undrain it first", name))
 	}
 	old := s.members[name]
+	if s.departed.set[departedKeyOf(backend)] {
+		return refused(fmt.Sprintf("this incarnation of backend server %q has left", name))
+	}
 	if old != nil && old.GetBackend().GetAgentIncarnation() > backend.GetAgentIncarnation() {
 		return refused(fmt.Sprintf("backend server %q has joined with a later incarnation", name))
 	}
@@ -295,15 +307,19 @@
 // Retired returns the names that operators have retired, oldest first.
 func (s *State) Retired() []string { return slices.Clone(s.retired.names) }
 
-// Restore replaces the table with the values that Members, Drained and Retired
-// returned earlier.
-func (s *State) Restore(members []*wire.Member, drained, retired []string) {
+// Departed returns the incarnations that have left, oldest first.
+func (s *State) Departed() []*wire.DepartedBackend { return s.departed.messages() }
+
+// Restore replaces the table with the values that Members, Drained, Retired and
+// Departed returned earlier.
+func (s *State) Restore(members []*wire.Member, drained, retired []string, departed []*wire.DepartedBackend) {
 	s.members = make(map[string]*wire.Member, len(members))
 	for _, member := range members {
 		s.members[member.GetBackend().GetName()] = member
 	}
 	s.drained = newNameSet(drained)
 	s.retired = newNameSet(retired)
+	s.departed = newDepartedSet(departed)
 }
 
 func copyMember(m *wire.Member) *wire.Member {
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -54,6 +54,25 @@
 	absent    = wire.BackendState_BACKEND_STATE_UNSPECIFIED
 )
 
+// Guards against a table that grows with each backend server that ever left, and one that forgets it after a
+// restart from a snapshot.
+func TestDepartedIncarnationsAreBounded(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	for i := range uint64(maxDeparted + 10) {
+		s.Apply(join(i+1), 1)
+		s.Apply(changeOf(leave, i+1), 1)
+	}
+	is.Equal(len(s.Departed()), maxDeparted)
+	restored := NewState()
+	restored.Restore(s.Members(), s.Drained(), s.Retired(), s.Departed())
+	for _, state := range []*State{s, restored} {
+		is.True(!state.Apply(join(maxDeparted), 1).Result.GetAccepted())
+		is.True(!state.Apply(join(11), 1).Result.GetAccepted())
+		is.True(state.Apply(join(10), 1).Result.GetAccepted()) // forgotten
+	}
+}
+
 func TestStateApply(t *testing.T) {
 	type changes = []*wire.BackendChange
 	for _, row := range []struct {
@@ -86,6 +105,12 @@
 		{"operator's drain outlives a restart", changes{join(5), changeOf(drain, 0), join(6)}, draining, 6, false},
 		{"operator's drain outlives expiry", changes{join(5), changeOf(drain, 0), changeOf(expire, 5), join(6)}, draining, 6, false},
 		{"agent's drain ends with the incarnation", changes{join(5), changeOf(drain, 5), changeOf(leave, 5), join(6)}, ready, 6, false},
+		{"late announcement after a leave", changes{join(5), changeOf(drain, 5), changeOf(leave, 5), join(5)}, absent, 0, true},
+		{"late announcement after the expiry of one that drains", changes{join(5), changeOf(drain, 5), changeOf(expire, 5), join(5)}, absent, 0, true},
+		{"late announcement of an incarnation before the last", changes{join(5), changeOf(leave, 5), join(6), changeOf(leave, 6), join(5)}, absent, 0, true},
+		{"restart after a leave, its clock set back", changes{join(5), changeOf(leave, 5), join(4)}, ready, 4, false},
+		{"return after the expiry of one that an operator drains", changes{join(5), changeOf(drain, 0), changeOf(expire, 5), join(5)}, draining, 5, false},
+		{"return after a retirement", changes{join(5), changeOf(retire, 0), changeOf(expire, 5), changeOf(undrain, 0), join(5)}, ready, 5, false},
 		{"undrain", changes{join(5), changeOf(drain, 0), changeOf(undrain, 0)}, ready, 5, false},
 		{"undrain after expiry", changes{join(5), changeOf(drain, 0), changeOf(expire, 5), changeOf(undrain, 0), join(6)}, ready, 6, false},
 		{"undrain without a drain", changes{join(5), changeOf(undrain, 0)}, ready, 5, false},
