quarantine: a deadly request is found beside a thousand others of its account

What was seen: a request that ends each server that runs it was not quarantined beside 100 calls of its account at each server: 15 ended in 35 s.

Cause: 64 suspects of an account were kept, and those of one crash were dropped by age and then by their fingerprint. Each crash brings as many suspects as calls run at the server.

Change: 2,048 suspects of an account, of 8,192 in all as before. Entries are found by owner and candidates are kept apart, since each report looked at the whole table.

--- a/internal/quarantine/judge.go
+++ b/internal/quarantine/judge.go
@@ -35,10 +35,8 @@
 //     at all, see apply.
 func (t *Table) judge() {
 	var narrow, first, served []*candidate
-	for key, entry := range t.entries {
-		if len(entry.GetCrashIds()) < SharedCrashLimit || !IsPart(entry.GetFingerprint()) && !isSharedRequest(entry.GetFingerprint()) {
-			continue
-		}
+	for key := range t.candidates {
+		entry := t.entries[key]
 		c := &candidate{key: key, entry: entry, part: IsPart(entry.GetFingerprint())}
 		switch {
 		case entry.GetServedBefore():
@@ -67,6 +65,12 @@
 	}
 }
 
+// isCandidate reports whether an entry was at enough crashes to be judged, as a request or a part that can't
+// be run apart.
+func isCandidate(entry *wire.QuarantineEntry) bool {
+	return len(entry.GetCrashIds()) >= SharedCrashLimit && (IsPart(entry.GetFingerprint()) || isSharedRequest(entry.GetFingerprint()))
+}
+
 // candidate is a request or a part that may have caused crashes.
 type candidate struct {
 	key   Key
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -143,7 +143,9 @@
 	// shorter than QuarantineTTL, since many requests may have the part.
 	PartTTL time.Duration
 	// EntriesPerAccount is the maximum number of requests of one account, and
-	// PartsPerAccount that of its parts of prompts.
+	// PartsPerAccount that of its parts of prompts. An engine that crashes takes all requests
+	// with it that run there, some hundreds, which may be of one account. They must fit in twice:
+	// a request that is at a second crash is evicted after those of one crash.
 	EntriesPerAccount, PartsPerAccount int
 	// MaxEntries is the maximum number of entries of the whole table.
 	MaxEntries int
@@ -155,7 +157,7 @@
 		CrashTTL:          10 * time.Minute,
 		QuarantineTTL:     time.Hour,
 		PartTTL:           10 * time.Minute,
-		EntriesPerAccount: 64,
+		EntriesPerAccount: 2048,
 		PartsPerAccount:   256,
 		MaxEntries:        8192,
 	}
@@ -188,8 +190,10 @@
 type Table struct {
 	limits  Limits
 	entries map[Key]*wire.QuarantineEntry
-	// perOwner is the number of entries of each owner.
-	perOwner map[owner]int
+	// owned holds the entries of each owner.
+	owned map[owner]map[Key]*wire.QuarantineEntry
+	// candidates holds the keys of the entries among which judge looks for causes.
+	candidates map[Key]bool
 	// recent holds the latest crashes, at most maxRecentCrashes, the newest last.
 	recent []string
 	// before holds the entries that the current call has changed, as they were; nil stands
@@ -208,7 +212,7 @@
 
 // NewTable returns an empty table.
 func NewTable(limits Limits) *Table {
-	return &Table{limits: limits, entries: map[Key]*wire.QuarantineEntry{}, perOwner: map[owner]int{}, before: map[Key]*wire.QuarantineEntry{}}
+	return &Table{limits: limits, entries: map[Key]*wire.QuarantineEntry{}, owned: map[owner]map[Key]*wire.QuarantineEntry{}, candidates: map[Key]bool{}, before: map[Key]*wire.QuarantineEntry{}}
 }
 
 // Outcome is the result of one report.
@@ -323,19 +327,30 @@
 	if _, changed := t.before[key]; !changed {
 		t.before[key] = old
 	}
+	if entry != nil {
+		t.put(key, entry)
+		return
+	}
 	of := ownerOf(key)
-	switch {
-	case entry == nil:
-		delete(t.entries, key)
-		t.perOwner[of]--
-		if t.perOwner[of] == 0 {
-			delete(t.perOwner, of)
-		}
-	default:
-		t.entries[key] = entry
-		if !known {
-			t.perOwner[of]++
-		}
+	delete(t.entries, key)
+	delete(t.candidates, key)
+	delete(t.owned[of], key)
+	if len(t.owned[of]) == 0 {
+		delete(t.owned, of)
+	}
+}
+
+// put stores the entry of key.
+func (t *Table) put(key Key, entry *wire.QuarantineEntry) {
+	of := ownerOf(key)
+	if t.owned[of] == nil {
+		t.owned[of] = map[Key]*wire.QuarantineEntry{}
+	}
+	t.entries[key], t.owned[of][key] = entry, entry
+	if isCandidate(entry) {
+		t.candidates[key] = true
+	} else {
+		delete(t.candidates, key)
 	}
 }
 
@@ -399,7 +414,7 @@
 		limit = t.limits.PartsPerAccount
 	}
 	switch {
-	case t.perOwner[of] >= limit:
+	case len(t.owned[of]) >= limit:
 		t.evictOldest(of)
 	case len(t.entries) >= t.limits.MaxEntries:
 		t.evictOldest(t.largestOwner())
@@ -409,7 +424,8 @@
 func (t *Table) largestOwner() owner {
 	var largest owner
 	most := 0
-	for of, n := range t.perOwner {
+	for of, entries := range t.owned {
+		n := len(entries)
 		if n > most || n == most && (of.account < largest.account || of.account == largest.account && !of.parts) {
 			largest, most = of, n
 		}
@@ -420,8 +436,8 @@
 // evictOldest drops the entry of an owner that evictBefore puts first.
 func (t *Table) evictOldest(of owner) {
 	var oldest *wire.QuarantineEntry
-	for key, entry := range t.entries {
-		if ownerOf(key) == of && (oldest == nil || evictBefore(entry, oldest)) {
+	for _, entry := range t.owned[of] {
+		if oldest == nil || evictBefore(entry, oldest) {
 			oldest = entry
 		}
 	}
@@ -474,11 +490,11 @@
 func (t *Table) Restore(entries []*wire.QuarantineEntry, recent []string) {
 	t.recent = slices.Clone(recent)
 	t.entries = make(map[Key]*wire.QuarantineEntry, len(entries))
-	t.perOwner = map[owner]int{}
+	t.owned = map[owner]map[Key]*wire.QuarantineEntry{}
+	clear(t.candidates)
 	clear(t.before)
 	for _, entry := range entries {
-		t.entries[KeyOf(entry)] = entry
-		t.perOwner[ownerOf(KeyOf(entry))]++
+		t.put(KeyOf(entry), entry)
 	}
 }
 
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/matryer/is"
@@ -128,6 +129,40 @@
 	})
 }
 
+// Guards against a request that ends each server that runs it and is never quarantined, since other requests of
+// its account run beside it and take its place in the table.
+func TestDeadlyRequestIsFoundBesideOthers(t *testing.T) {
+	for _, beside := range []int{1, 100, 1000} {
+		t.Run(fmt.Sprint(beside), func(t *testing.T) {
+			random := rand.New(rand.NewPCG(1, uint64(beside)))
+			for content := range 20 {
+				table := NewTable(DefaultLimits())
+				fingerprint := func(name string) string { return string(SharedFingerprint(sha256.Sum256([]byte(name)))) }
+				deadly := fingerprint(fmt.Sprint("deadly ", content))
+				for crash := range SharedCrashLimit {
+					var reports []*wire.CrashReport
+					for i := range beside {
+						reports = append(reports, newReport("a", fingerprint(fmt.Sprint("sound ", crash, i)), fmt.Sprint("b", crash), 1))
+					}
+					reports = append(reports, newReport("a", deadly, fmt.Sprint("b", crash), 1))
+					random.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
+					for i, report := range reports {
+						table.Report(int64(10_000*crash+i/100), report)
+					}
+				}
+				if !isQuarantined(table.entries[Key{"a", deadly}]) {
+					t.Errorf("content %d is not quarantined after %d crashes", content, SharedCrashLimit)
+				}
+				for _, entry := range table.Entries() {
+					if isQuarantined(entry) && string(entry.GetFingerprint()) != deadly {
+						t.Error("a sound request is quarantined")
+					}
+				}
+			}
+		})
+	}
+}
+
 func TestTableSizeIsLimited(t *testing.T) {
 	is := is.New(t)
 	limits := DefaultLimits()
