forward: a successor reads nothing of its call that changes between attempts

Found at a second reading of: a successor that is still connecting when it takes over the stream read the cache scope and the prompt levels of its call, which the next attempt may replace at that moment. Its request is made before it is sent now, and the check right before the sending compares with the scope of that time. One that can't begin after all is dropped, and the log of a dropped one has the reason.

Run: all of internal/forward; the tests of streams, queues, silence and cache scopes with the race detector.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -133,7 +133,7 @@
 // checkSend returns a function that returns an error if the request must not be sent any more. It
 // is called after the wait for a connection.
 func (c *forwardedCall) checkSend() func() error {
-	selectedAt := c.f.selector.clock()
+	selectedAt, scope := c.f.selector.clock(), c.cacheScope
 	return func() error {
 		if c.f.selector.clock().Sub(selectedAt) > maxSelectionAge {
 			return errSelectionOutdated
@@ -141,7 +141,7 @@
 		if c.isFinal() {
 			return errStopEnds
 		}
-		if c.route.GetPrompts() && c.currentCacheScope() != c.cacheScope {
+		if c.route.GetPrompts() && c.currentCacheScope() != scope {
 			return errCacheScopeChanged
 		}
 		return c.mayStillSend()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -57,10 +57,13 @@
 	return c.attemptAt(now, d, nil)
 }
 
-// attemptAt runs an attempt at a backend server, which began at the given time. successor is the attempt if it
-// was sent already, and nil otherwise.
+// attemptAt runs an attempt at a backend server, which began at the given time. s is the attempt if it was sent
+// already as a successor, and nil otherwise.
 func (c *forwardedCall) attemptAt(now time.Time, d *routing.Decision, s *successor) Step {
 	if err := c.quota.BeginAttempt(); err != nil {
+		if s != nil {
+			s.drop(c)
+		}
 		c.f.selector.failed(d, fault.Cancelled)
 		return Step{Err: fault.From(err)}
 	}
@@ -240,7 +243,7 @@
 		<-s.done
 		resp, fail = s.response, s.failure
 	} else {
-		resp, fail = c.sendTo(c.ctx, c.watched, d, now, c.position.lastID)
+		resp, fail = c.prepareSend(d, now, c.position.lastID)(c.ctx, c.watched)
 	}
 	if fail != nil {
 		return fail, Step{}
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -49,10 +49,11 @@
 	s := &successor{decision: d, number: number, after: after, sentAt: time.Now(), done: make(chan struct{})}
 	s.ctx, s.cancel = context.WithCancelCause(c.callCtx)
 	s.watched = c.newWatch(d, s.cancel)
+	send := c.prepareSend(d, s.sentAt, after)
 	go func() {
 		defer close(s.done)
 		s.failure = &failure{InvalidResponse, errSuccessorDropped} // unless send returns
-		recovery.Run("successor of a stream", func() { s.response, s.failure = c.sendTo(s.ctx, s.watched, d, s.sentAt, after) })
+		recovery.Run("successor of a stream", func() { s.response, s.failure = send(s.ctx, s.watched) })
 	}()
 	return s
 }
@@ -84,21 +85,21 @@
 // drop ends a successor that is not used.
 func (s *successor) drop(c *forwardedCall) {
 	finish := func() {
-		kind, text := fault.Cancelled, "dropped"
+		kind, text, reason := fault.Cancelled, "dropped", errSuccessorDropped
 		if s.failure == nil {
 			if outcome := classifyResponse(s.response); outcome != 0 {
-				kind, text = faultKinds[outcome], outcome.String()
+				kind, text, reason = faultKinds[outcome], outcome.String(), fmt.Errorf("status %d", s.response.status)
 			}
 			s.response.close(false)
 			s.response.release()
 		} else if s.ctx.Err() == nil && !errors.Is(s.failure.err, errWithdrawn) {
-			kind, text = faultKinds[s.failure.outcome], s.failure.outcome.String()
+			kind, text, reason = faultKinds[s.failure.outcome], s.failure.outcome.String(), s.failure.err
 		}
 		s.cancel(errSuccessorDropped)
 		c.f.selector.failed(s.decision, kind)
 		countAttempt(s.decision.Backend.GetName(), text)
 		event.ForwardAttemptFailed(event.Attempt{Request: c.call.ID, Backend: s.decision.Backend.GetName(), Address: s.decision.Backend.GetAddress(), Number: s.number,
-			ViewVersion: c.snapshot.Version}, text, fmt.Errorf("successor of a begun stream after %.40q", s.after))
+			ViewVersion: c.snapshot.Version}, text, fmt.Errorf("successor of a begun stream after %.40q: %w", s.after, reason))
 	}
 	select {
 	case <-s.done:
@@ -142,8 +143,9 @@
 	}
 }
 
-// sendTo sends an attempt to a backend server.
-func (c *forwardedCall) sendTo(ctx context.Context, watched *watchedAttempt, d *routing.Decision, now time.Time, after string) (*response, *failure) {
+// prepareSend returns the function that sends an attempt to a backend server. The function reads nothing of the
+// call that changes between two attempts.
+func (c *forwardedCall) prepareSend(d *routing.Decision, now time.Time, after string) func(context.Context, *watchedAttempt) (*response, *failure) {
 	header := c.header.Clone()
 	importAddress, saveAddress := c.cacheTransfers(d)
 	c.f.dialect.PrepareAttempt(header, &Attempt{
@@ -161,5 +163,8 @@
 		header.Set("User-Agent", "") // keeps net/http from adding its own
 	}
 	req := newRequest(c.r, d.Backend.GetAddress(), header, c.body)
-	return c.f.send(ctx, watched, d.Backend.GetAddress(), req, c.body, c.call.ID, !c.Idempotent, c.checkSend(), func(info ResponseInfo) { c.f.recordNotices(d, info) })
+	check, atMostOnce := c.checkSend(), !c.Idempotent
+	return func(ctx context.Context, watched *watchedAttempt) (*response, *failure) {
+		return c.f.send(ctx, watched, d.Backend.GetAddress(), req, c.body, c.call.ID, atMostOnce, check, func(info ResponseInfo) { c.f.recordNotices(d, info) })
+	}
 }
