--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -101,8 +101,10 @@
 				startedAt = time.Time{} // the router has just started, and the cache may be filled
 			}
 		}
-		s.backend = m.Backend
-		r.setModels(s, known, startedAt)
+		if s.models == nil || s.backend != m.Backend { // views share members that have not changed
+			s.backend = m.Backend
+			r.setModels(s, known, startedAt)
+		}
 		s.state = m.State
 		if r.servers[m.Backend.Name] == nil {
 			r.order = append(r.order, s)
