forward: logs and metrics show how outdated the weights of a call's engine were

Change: weights_required and weights_outdated_ms on calls, and forward_begun_on_outdated_weights, the streams that began on outdated weights by seconds. No decision changes.

--- a/internal/event/call.go
+++ b/internal/event/call.go
@@ -84,6 +84,11 @@
 	// engine to serve.
 	Model   string
 	Weights uint64
+	// WeightsRequired is the version below which the router used no engine, and WeightsOutdatedFor
+	// the time for which it knew a newer version than Weights when it chose the engine; 0 if there
+	// was none.
+	WeightsRequired    uint64
+	WeightsOutdatedFor time.Duration
 	// CacheImportAddress is the address from which the engine may fetch cached state;
 	// empty for none.
 	CacheImportAddress string
@@ -110,6 +115,7 @@
 		fields["key"] = hexID(p.SharedPrefixKey)
 		fields["prompt"], fields["opening"], fields["cached"] = p.Tokens, p.SharedPrefixTokens, p.ExpectedCachedTokens
 		fields["wait_ms"], fields["prefill_ms"], fields["model"], fields["weights"] = milliseconds(p.Wait), milliseconds(p.Prefill), p.Model, p.Weights
+		fields["weights_required"], fields["weights_outdated_ms"] = p.WeightsRequired, milliseconds(p.WeightsOutdatedFor)
 		fields["import"], fields["save"] = p.CacheImportAddress, p.CacheSaveAddress
 	}
 	if len(c.Outcomes) > 0 {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -236,6 +236,7 @@
 // the next step of the call.
 func (c *forwardedCall) runAttempt(now time.Time, d *routing.Decision, s *successor) (*failure, Step) {
 	c.decision = d
+	c.outdatedFor = c.f.selector.outdatedFor(d)
 	c.cacheImportAddress, c.cacheSaveAddress = c.cacheTransfers(d)
 	var resp *response
 	var fail *failure
@@ -504,6 +505,7 @@
 			started, c.answeredAt = true, now
 			c.f.crashes.end(c)
 			c.f.selector.firstToken(d)
+			countBegun(c.f.selector.outdatedFor(d))
 		}
 		if !c.headerWritten {
 			if fail := c.beginDelivery(r); fail != nil {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"expvar"
 	"maps"
+	"strconv"
 	"sync"
 	"time"
 
@@ -18,6 +19,9 @@
 	attempts = expvar.NewMap("forward_attempts")
 	// routeCalls counts calls by route and result.
 	routeCalls = publishCounterTable("forward_calls_by_route", maxRouteRows)
+	// outdatedBegun counts the streams that began on outdated weights, by the whole seconds for which
+	// newer ones had been known, up to maxOutdatedSeconds.
+	outdatedBegun = expvar.NewMap("forward_begun_on_outdated_weights")
 	// backendAttempts counts attempts by backend server and outcome.
 	backendAttempts = publishCounterTable("forward_attempts_by_backend", maxBackendRows)
 )
@@ -28,6 +32,9 @@
 	// answered is the outcome of attempts whose response could be used, error
 	// responses of the backend server included.
 	answered = "answered"
+	// maxOutdatedSeconds is the last row of outdatedBegun. It is longer than the time within which calls
+	// must begin on new weights in any known deployment.
+	maxOutdatedSeconds = 30
 	// maxRouteRows and maxBackendRows limit the rows of the tables. They are
 	// enough for the routes of a large route table and for the backend servers of
 	// a region.
@@ -37,6 +44,13 @@
 	otherRow = "other"
 )
 
+// countBegun counts a stream that began on weights that were outdated for the given time; 0 if they were not.
+func countBegun(outdatedFor time.Duration) {
+	if outdatedFor > 0 {
+		outdatedBegun.Add(strconv.Itoa(min(int(outdatedFor.Seconds()), maxOutdatedSeconds)), 1)
+	}
+}
+
 // counterTable counts events by row and column. Once it has limit rows, it counts
 // the events of further rows in otherRow. It is safe for concurrent use.
 type counterTable struct {
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -90,6 +90,22 @@
 	return required, preferred
 }
 
+// outdatedFor returns how long a newer version of the weights has been known than that of the chosen
+// engine; 0 if none is.
+func (sel *backendSelector) outdatedFor(d *routing.Decision) time.Duration {
+	if d.WeightsVersion == 0 {
+		return 0
+	}
+	sel.mu.Lock()
+	defer sel.mu.Unlock()
+	for _, known := range sel.targetHistory[d.Model] {
+		if known.Version > d.WeightsVersion {
+			return sel.clock().Sub(known.FirstSeen)
+		}
+	}
+	return 0
+}
+
 // applyLoads applies the load reports of a digest.
 func (sel *backendSelector) applyLoads(digest *wire.LoadDigest) {
 	sel.mu.Lock()
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -426,6 +426,8 @@
 		WeightsVersion: c.model.weightsVersion,
 		CacheVersion:   c.model.cacheVersion,
 		model:          c.model,
+
+		MinWeightsVersion: req.MinWeightsVersion,
 	}
 	if c.source != nil {
 		d.KVSource = c.source.backend.AgentAddress
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -250,6 +250,8 @@
 	WeightsVersion uint64
 	// CacheVersion identifies the weights in salts and keys of cached state.
 	CacheVersion uint64
+	// MinWeightsVersion is that of the request.
+	MinWeightsVersion uint64
 
 	server *server
 	// model is the state of the request's model at server.
