fleet: load reports older than a load do not end it

What callers saw: engines that had just accepted an order to load new weights were put back into service while they loaded, and refused the calls that came (503, not run).

Cause: a report shows the engine as it was some hundred milliseconds ago. Load reports come twice a second and are passed to the rollout at any moment of a load. One from before the order shows neither the load nor the new version, so that the rollout took the load for ended without success, sent the same order again, which the engine refused with 409, and ended the load.

Why the fix works: a load is not ended by a report that shows fewer accepted orders than the engine had accepted when the load began, for as long as reports may be behind (1 s).

Evidence: TestReportsOlderThanTheLoadDoNotEndIt fails on the code before. With reports of no age nothing changes. The harness of the tests can now lose and delay orders, take load reports and share the weight store.

--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -28,6 +28,9 @@
 	// firstLoadPollDelay is the delay before the first such query. It is close to the
 	// shortest load time in the known deployments.
 	firstLoadPollDelay = 450 * time.Millisecond
+	// maxReportAge is the longest time by which the state in a report is behind. Engines
+	// answer with a state of some hundred milliseconds ago.
+	maxReportAge = time.Second
 	// progressTimeout is the time without progress after which the load of an engine
 	// is abandoned, so that another engine can load.
 	progressTimeout = 6 * time.Second
@@ -129,6 +132,10 @@
 	orders uint64
 	// outOfService is set once the change to LOADING has been proposed.
 	outOfService bool
+	// loadingSince is when the engine accepted the order or was first seen to load, and
+	// loadingOrders the number of orders that it has accepted since then.
+	loadingSince  time.Time
+	loadingOrders uint64
 }
 
 // Rollout updates the engines without an agent to the target versions of the weights.
@@ -343,7 +350,8 @@
 	}
 	l.lastProgress = now
 	if report.Busy {
-		l.phase, l.nextStep = loading, now.Add(loadPollInterval)
+		l.startLoading(now, report.Orders)
+		l.nextStep = now.Add(loadPollInterval)
 		return r.takeOutOfService(l, b)
 	}
 	updated := withWeights(b, report.Weights)
@@ -353,6 +361,11 @@
 		delete(r.loads, b.GetName())
 		return []RolloutAction{r.returnToService(b, updated)}
 	}
+	if l.phase == loading && report.Orders < l.loadingOrders && now.Sub(l.loadingSince) < maxReportAge {
+		// The state in the report is older than the load.
+		l.nextStep = now.Add(loadPollInterval)
+		return nil
+	}
 	l.model, l.orders, l.hasRequests = model, report.Orders, report.Answering+report.Waiting > 0
 	if l.hasRequests && now.Sub(l.startedAt) < maxDrainTime {
 		l.phase, l.nextStep = draining, now.Add(drainPollInterval)
@@ -374,7 +387,8 @@
 		return r.Report(now, b, report, nil, targets)
 	}
 	if report.Busy {
-		l := &load{incarnation: b.GetAgentIncarnation(), phase: loading, lastProgress: now, nextStep: now.Add(loadPollInterval)}
+		l := &load{incarnation: b.GetAgentIncarnation(), lastProgress: now, nextStep: now.Add(loadPollInterval)}
+		l.startLoading(now, report.Orders)
 		r.loads[b.GetName()] = l
 		return r.takeOutOfService(l, b)
 	}
@@ -400,10 +414,20 @@
 		return []RolloutAction{r.returnToService(b, nil)}
 	}
 	l.lastProgress = now
-	l.phase, l.nextStep = loading, now.Add(firstLoadPollDelay)
+	l.startLoading(now, l.orders+1)
+	l.nextStep = now.Add(firstLoadPollDelay)
 	return nil
 }
 
+// startLoading records that the engine loads and that it has accepted the given number
+// of orders by then.
+func (l *load) startLoading(now time.Time, orders uint64) {
+	if l.phase != loading {
+		l.loadingSince = now
+	}
+	l.phase, l.loadingOrders = loading, orders
+}
+
 // takeOutOfService proposes the change to LOADING once for each load.
 func (r *Rollout) takeOutOfService(l *load, b *wire.Backend) []RolloutAction {
 	if l.outOfService {
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -1,13 +1,16 @@
 package fleet
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"parsleypulley/internal/fault"
 	"parsleypulley/internal/wire"
 )
 
@@ -24,7 +27,28 @@
 	requests int
 	// unresponsive is set while the engine answers no order.
 	unresponsive bool
-	state        wire.BackendState
+	// refusal is the error with which the engine refuses all orders, or nil.
+	refusal error
+	// delayed holds orders without an answer that are carried out later.
+	delayed []delayedOrder
+	// shown holds the engine's latest states, oldest first. A report shows the oldest.
+	shown []*EngineReport
+	state wire.BackendState
+}
+
+// delayedOrder is an order that reaches its engine at a later time.
+type delayedOrder struct {
+	at    time.Time
+	order *LoadOrder
+}
+
+// reply is the outcome of an order that the rollout learns at a later time.
+type reply struct {
+	at  time.Time
+	b   *wire.Backend
+	err error
+	// rollout is the one that sent the order.
+	rollout *Rollout
 }
 
 func (e *fakeEngine) backend() *wire.Backend {
@@ -48,9 +72,37 @@
 	targets      []*wire.WeightsTarget
 	// maxOutOfService is the largest number of engines out of service at the same time.
 	maxOutOfService int
+
+	// rng draws the fate of each order. If it is nil, all orders are answered.
+	rng *rand.Rand
+	// lost is the share of orders that get no answer. They are carried out fakeMinDelay
+	// to fakeMaxDelay later.
+	lost    float64
+	replies []reply
+	// observe is set if the leader takes a load report twice a second.
+	observe bool
+	// reportAge is the age of the states in reports.
+	reportAge time.Duration
+	// store is set if loads share the weight store.
+	store bool
+	// sent is the number of orders sent, conflicts the number of those refused with a
+	// conflict, and loads the number of loads begun.
+	sent, conflicts, loads int
+	// check, if set, is called after each step.
+	check func()
 }
 
-const fakeLoadTime = 570 * time.Millisecond
+const (
+	fakeLoadTime = 570 * time.Millisecond
+	// fakeOrderTimeout is when the leader gives up the wait for an answer.
+	fakeOrderTimeout = time.Second
+	fakeMinDelay     = 2 * time.Second
+	fakeMaxDelay     = 12 * time.Second
+	// fakeStoreLoads is the number of loads that the weight store serves at full speed.
+	fakeStoreLoads = 3
+	fakeStep       = 50 * time.Millisecond
+	fakeInterval   = 500 * time.Millisecond
+)
 
 func newRolloutHarness(t *testing.T, engines int) *rolloutHarness {
 	h := &rolloutHarness{t: t, now: time.Unix(1000, 0), memberByName: map[string]*wire.Member{}}
@@ -82,16 +134,111 @@
 }
 
 func (h *rolloutHarness) run(d time.Duration) {
-	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(50 * time.Millisecond) {
+	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(fakeStep) {
+		h.stepEngines()
+		h.deliverReplies()
+		if h.observe && h.now.UnixMilli()%fakeInterval.Milliseconds() == 0 {
+			for _, e := range h.engines {
+				h.perform(h.rollout.ObserveReport(h.now, h.memberByName[e.name].Backend, h.report(e), h.targets))
+			}
+		}
 		h.perform(h.rollout.Plan(h.now, h.members(), h.targets))
-		out := 0
-		for _, m := range h.memberByName {
-			if m.State == wire.BackendState_BACKEND_STATE_LOADING {
-				out++
+		h.maxOutOfService = max(h.maxOutOfService, h.outOfService())
+		if h.check != nil {
+			h.check()
+		}
+	}
+}
+
+// outOfService returns the number of engines that the leader has taken out of service.
+func (h *rolloutHarness) outOfService() int {
+	n := 0
+	for _, m := range h.memberByName {
+		if m.State == wire.BackendState_BACKEND_STATE_LOADING {
+			n++
+		}
+	}
+	return n
+}
+
+// stepEngines finishes loads, carries out delayed orders that are due, and records the
+// states for reports.
+func (h *rolloutHarness) stepEngines() {
+	for _, e := range h.engines {
+		e.finishLoad(h.now)
+		var later []delayedOrder
+		for _, d := range e.delayed {
+			if h.now.Before(d.at) {
+				later = append(later, d)
+			} else {
+				_ = h.carryOut(e, d.order)
+			}
+		}
+		e.delayed = later
+		e.shown = append(e.shown, e.report())
+		e.shown = e.shown[max(0, len(e.shown)-1-int(h.reportAge/fakeStep)):]
+	}
+}
+
+// deliverReplies passes the outcomes that are due to the rollout.
+func (h *rolloutHarness) deliverReplies() {
+	var later, due []reply
+	for _, r := range h.replies {
+		if h.now.Before(r.at) {
+			later = append(later, r)
+		} else {
+			due = append(due, r)
+		}
+	}
+	h.replies = later
+	for _, r := range due {
+		if r.rollout == h.rollout {
+			h.perform(h.rollout.OrderReply(h.now, r.b, r.err))
+		}
+	}
+}
+
+// report returns what an engine answers to a query for its state.
+func (h *rolloutHarness) report(e *fakeEngine) *EngineReport {
+	if h.reportAge > 0 && len(e.shown) > 0 {
+		return e.shown[0]
+	}
+	e.finishLoad(h.now)
+	return e.report()
+}
+
+// send sends an order to its engine.
+func (h *rolloutHarness) send(o *LoadOrder) {
+	h.sent++
+	e, b := h.engine(o.Backend.Name), o.Backend
+	if h.rng != nil && h.rng.Float64() < h.lost {
+		delay := fakeMinDelay + time.Duration(h.rng.Int64N(int64(fakeMaxDelay-fakeMinDelay)))
+		e.delayed = append(e.delayed, delayedOrder{h.now.Add(delay), o})
+		h.replies = append(h.replies, reply{h.now.Add(fakeOrderTimeout), b, context.DeadlineExceeded, h.rollout})
+		return
+	}
+	h.perform(h.rollout.OrderReply(h.now, b, h.carryOut(e, o)))
+}
+
+// carryOut lets an order reach its engine.
+func (h *rolloutHarness) carryOut(e *fakeEngine, o *LoadOrder) error {
+	err := e.order(h.now, o)
+	switch {
+	case fault.Is(err, fault.Conflict):
+		h.conflicts++
+	case err == nil:
+		h.loads++
+		if h.store {
+			loading := 0
+			for _, other := range h.engines {
+				if other.pendingVersion != 0 {
+					loading++
+				}
 			}
+			e.readyAt = h.now.Add(fakeLoadTime * time.Duration(max(loading, fakeStoreLoads)) / fakeStoreLoads)
 		}
-		h.maxOutOfService = max(h.maxOutOfService, out)
 	}
+	return err
 }
 
 func (h *rolloutHarness) perform(actions []RolloutAction) {
@@ -108,11 +255,9 @@
 			}
 			h.memberByName[a.Propose.Name] = next
 		case a.Report != nil:
-			e := h.engine(a.Report.Name)
-			e.finishLoad(h.now)
-			h.perform(h.rollout.Report(h.now, a.Report, e.report(), nil, h.targets))
+			h.perform(h.rollout.Report(h.now, a.Report, h.report(h.engine(a.Report.Name)), nil, h.targets))
 		case a.Order != nil:
-			h.perform(h.rollout.OrderReply(h.now, a.Order.Backend, h.engine(a.Order.Backend.Name).order(h.now, a.Order)))
+			h.send(a.Order)
 		}
 	}
 }
@@ -125,8 +270,11 @@
 	if e.unresponsive {
 		return errors.New("no answer")
 	}
+	if e.refusal != nil {
+		return e.refusal
+	}
 	if o.Orders != e.orders || e.pendingVersion != 0 {
-		return errors.New("conflict")
+		return fault.New(fault.Conflict, fault.NotRun, "conflict")
 	}
 	e.orders++
 	e.pendingVersion, e.readyAt = o.Version, now.Add(fakeLoadTime)
@@ -239,3 +387,42 @@
 	is.Equal(len(h.rollout.Report(h.now, old, &EngineReport{}, nil, h.targets)), 0)
 	is.Equal(len(h.rollout.OrderReply(h.now, old, nil)), 0)
 }
+
+// A load report that shows the engine as it was before it accepted the order must not end
+// the load: the engine got calls while it loaded, and a second order that it refused.
+func TestReportsOlderThanTheLoadDoNotEndIt(t *testing.T) {
+	for _, engines := range []int{18, 49} {
+		t.Run(fmt.Sprint(engines), func(t *testing.T) {
+			is := is.New(t)
+			h := newRolloutHarness(t, engines)
+			h.observe, h.store, h.reportAge = true, true, 300*time.Millisecond
+			h.check = func() {
+				for _, e := range h.engines {
+					is.True(e.pendingVersion == 0 || h.memberByName[e.name].State == wire.BackendState_BACKEND_STATE_LOADING) // gets calls while it loads
+				}
+			}
+			h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
+			h.run(12 * time.Second)
+			is.Equal(h.countOutdated(2), 0)
+			is.Equal(h.sent, engines)
+			is.Equal(h.loads, engines)
+			is.Equal(h.conflicts, 0)
+		})
+	}
+}
+
+// An engine whose reports go on to show the state before its load must not stay out of
+// service: after the longest age of a report, the order is repeated.
+func TestLoadThatReportsNeverShowIsOrderedAgain(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHarness(t, 1)
+	h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
+	e := h.engines[0]
+	for h.sent == 0 {
+		h.run(fakeStep)
+	}
+	e.orders, e.pendingVersion = 0, 0 // the engine has lost the order
+	h.run(2 * time.Second)            // the longest age of a report and one second
+	is.Equal(h.sent, 2)
+	is.Equal(h.countOutdated(2), 0)
+}
