fleet: a new leader orders nothing within the previous leader's lease after a load that it sees

What was seen: by reading, no record. A new leader takes load reports at once. If it saw an engine load and the load end without new weights before the lease of the previous leader's orders had passed, it sent an order: the guard was in Plan alone, and the order follows a report.

Why the fix works: the step that makes the order checks the same time; the engine is queried again when the lease has passed.

Evidence: TestNewLeaderOrdersNothingWithinThePreviousLease fails on the code before (1 order in 2.9 s of a lease of 3 s), and passes.

--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -371,6 +371,10 @@
 		l.phase, l.nextStep = draining, now.Add(drainPollInterval)
 		return nil
 	}
+	if now.Before(r.start) {
+		l.nextStep = r.start
+		return nil
+	}
 	l.phase, l.nextStep, l.awaitingReply = ordering, now, true
 	return []RolloutAction{{Order: &LoadOrder{
 		Backend: b, Model: l.model, Version: targetVersionOf(l.model, targets), Fencing: r.term, Orders: l.orders, KeepRunning: l.hasRequests,
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -376,6 +376,22 @@
 	is.Equal(h.countOutdated(2), 0)
 }
 
+// A load that a new leader sees to end without new weights must not lead to an order
+// before the previous leader's lease has passed: two leaders would take turns.
+func TestNewLeaderOrdersNothingWithinThePreviousLease(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHarness(t, 2)
+	h.rollout = NewRollout(8, h.now, 3*time.Second)
+	h.observe = true
+	h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
+	e := h.engines[0]
+	e.pendingVersion, e.readyAt, e.orders = 1, h.now.Add(700*time.Millisecond), 1
+	h.run(2900 * time.Millisecond)
+	is.Equal(h.sent, 0)
+	h.run(3 * time.Second)
+	is.Equal(h.countOutdated(2), 0)
+}
+
 // Replies that belong to an earlier incarnation of an engine must be ignored.
 func TestRepliesFromEarlierIncarnationAreIgnored(t *testing.T) {
 	is := is.New(t)
