fleet: rollouts get there where orders get no answer

Cause: an engine was taken out of service, finished its requests for up to 1.2 s, got an order, waited 1 s for the answer, was put back and started again 0.4 s later. Only the share (a quarter, growing) of the engines was in this at a time, so an engine got an order every many seconds, and the wait for answers, not loads, took them out of service.

Change: an engine whose order was refused or got no answer in time serves on, in doubt, and gets further orders without leaving service first, 0.3 s later and then at distances that grow by half. It counts for the share while an order is on its way and once it is seen to load (a report, a 409), and not in between. If two engines and half of those that got an order within 30 s have not answered the last one, engines get their first order in service too. They number at most half of the engines more than may be out of service. Orders to engines that serve let running requests go on: with the other mode the engine would refuse all calls until its longest request has ended. A newer version does not wait for the doubt; whichever order is carried out first voids the others by the number of accepted orders. Answers are told apart by their order, 409 from other refusals, and these from no answer. An order that this replica may no longer send is not counted as lost.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -30,7 +30,9 @@
 type EngineClient interface {
 	// Report queries an engine for its state.
 	Report(ctx context.Context, b *wire.Backend) (*fleet.EngineReport, error)
-	// Order sends an order. A nil error means that the engine has accepted it.
+	// Order sends an order. A nil error means that the engine has accepted it, a
+	// fault.Conflict that it carries out or has accepted another one. An error with the
+	// outcome fault.NotRun means that it won't carry out the order; without it, it may.
 	Order(ctx context.Context, order *fleet.LoadOrder) error
 	// Events requests the cache events from position next on. If there are none, the
 	// source waits for up to wait before it answers.
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"parsleypulley/internal/event"
+	"parsleypulley/internal/fault"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/recovery"
 	"parsleypulley/internal/wire"
@@ -71,23 +72,29 @@
 // order sends an order to an engine, passes the reply to the rollout and carries out the
 // actions that follow.
 func (l *leader) order(ctx context.Context, term uint64, order *fleet.LoadOrder) {
+	err := l.sendOrder(ctx, order)
+	l.mu.Lock()
+	var actions []fleet.RolloutAction
+	if l.rollout != nil && l.term == term {
+		actions = l.rollout.OrderReply(time.Now(), order, err)
+	}
+	l.mu.Unlock()
+	l.perform(ctx, term, actions)
+}
+
+// sendOrder sends an order to an engine if this replica leads in the term of the order.
+func (l *leader) sendOrder(ctx context.Context, order *fleet.LoadOrder) error {
 	if status := l.node.Status(); status.Term != order.Fencing || !status.Confirmed {
-		return // this replica does not lead in the term of the order
+		return fault.New(fault.NotLeader, fault.NotRun, "this replica does not lead in term %d", order.Fencing)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
-	err := l.options.Engines.Order(callCtx, order)
+	err := l.options.Engines.Order(ctx, order)
 	orderInfo := event.Order{Backend: order.Backend.GetName(), Model: order.Model, Weights: strconv.FormatUint(order.Version, 10), Fencing: order.Fencing, Orders: order.Orders}
 	if err != nil {
 		event.OrderRefused(orderInfo, err)
 	} else {
 		event.WeightsLoading(orderInfo)
 	}
-	l.mu.Lock()
-	var actions []fleet.RolloutAction
-	if l.rollout != nil && l.term == term {
-		actions = l.rollout.OrderReply(time.Now(), order.Backend, err)
-	}
-	l.mu.Unlock()
-	l.perform(ctx, term, actions)
+	return err
 }
--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -2,20 +2,33 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"parsleypulley/internal/fault"
 	"parsleypulley/internal/wire"
 )
 
 // Timing of a Rollout.
 const (
-	// orderRetryDelay is the delay after an order that was refused or got no clear
-	// answer. The engine is queried for its state before the next order.
-	orderRetryDelay = 400 * time.Millisecond
+	// orderRetryDelay is the delay after the first order that was refused or got no
+	// answer; it grows by half with each further one, up to maxOrderRetryDelay. The engine
+	// is queried for its state before the next order.
+	orderRetryDelay    = 300 * time.Millisecond
+	maxOrderRetryDelay = 6400 * time.Millisecond
+	// minReplyTime is the least time within which engines answer an order that is not
+	// lost: two round trips of 250 ms, for the connection and for the order.
+	minReplyTime = 500 * time.Millisecond
+	// lostReplyTime replaces it while orders are mostly lost. Few are answered
+	// then, and an order that is sent earlier is carried out earlier.
+	lostReplyTime = 200 * time.Millisecond
+	// outcomeMemory is the time for which the outcome of an order counts for whether
+	// orders are lost. Weights are named every few seconds on some days.
+	outcomeMemory = 30 * time.Second
 	// drainPollInterval is the time between two queries whether an engine has
 	// finished its requests.
 	drainPollInterval = 200 * time.Millisecond
@@ -51,6 +64,11 @@
 	maxRolloutShare      = 0.75
 )
 
+// inDoubtShare is the share of the engines by which those whose order is in doubt may
+// exceed those that may be out of service. Even if all these orders are carried out at the
+// same time, a quarter of the engines serves at first, and fewer as that share grows.
+const inDoubtShare = 0.5
+
 // maxOutOfService returns how many of the given number of engines may be out of service
 // at the same time, if the longest outdated one has been outdated for the given time.
 func maxOutOfService(engines int, outdated time.Duration) int {
@@ -86,6 +104,8 @@
 	// Orders must equal the engine's number of accepted orders when this order is
 	// carried out, so that a delayed order does not undo a later one.
 	Orders uint64
+	// sentAt is when the order was sent.
+	sentAt time.Time
 }
 
 // RolloutAction is an action that the caller of a Rollout must carry out. Exactly one
@@ -111,6 +131,9 @@
 	ordering
 	// loading means that the engine has accepted an order.
 	loading
+	// inDoubt means that the last order was refused or got no answer. The engine serves
+	// requests. It may carry out the order at any time, or get another one.
+	inDoubt
 )
 
 // load is a load of new weights in progress on one engine.
@@ -122,8 +145,18 @@
 	nextStep time.Time
 	// awaitingReply is set while the reply to the last action is outstanding.
 	awaitingReply bool
-	// startedAt is when the engine was taken out of service.
+	// startedAt is when the load was started.
 	startedAt time.Time
+	// keepServing is set if the engine serves requests until it loads.
+	keepServing bool
+	// order is the last order that was sent, or nil.
+	order *LoadOrder
+	// failures is the number of orders in a row that were refused or got no answer.
+	failures int
+	// conflict is set if the load was begun for an order that was refused because of
+	// another one, and conflicts is the number of such refusals in a row.
+	conflict  bool
+	conflicts int
 	// lastProgress is the time of the last successful step.
 	lastProgress time.Time
 	// hasRequests is set when the engine had requests at its last report.
@@ -151,16 +184,28 @@
 	// retryAt holds the time before which an engine whose load failed is not tried
 	// again, by name.
 	retryAt map[string]time.Time
+	// outcomes holds the outcome of the last order to each engine, by name, and
+	// ordersLost whether orders mostly got no answer, by them, at the last Plan.
+	outcomes   map[string]orderOutcome
+	ordersLost bool
+	// slowestAnswer is the longest time that an engine took to answer an order.
+	slowestAnswer time.Duration
 	// history holds the target versions that this leader has seen.
 	history TargetHistory
 }
 
+// orderOutcome tells whether an engine has answered an order.
+type orderOutcome struct {
+	at   time.Time
+	lost bool
+}
+
 // NewRollout returns the rollout for the leader of term. It issues no order until
 // previousLease has passed, because the previous leader may still issue orders during
 // its lease.
 func NewRollout(term uint64, now time.Time, previousLease time.Duration) *Rollout {
 	return &Rollout{term: term, start: now.Add(previousLease), loads: map[string]*load{}, retryAt: map[string]time.Time{},
-		history: TargetHistory{}}
+		outcomes: map[string]orderOutcome{}, history: TargetHistory{}}
 }
 
 // Plan returns the actions that are due. It must be called every 50 to 100 ms with
@@ -170,6 +215,7 @@
 		return nil
 	}
 	r.dropStaleLoads(members)
+	r.ordersLost = r.ordersAreLost(now)
 	var actions []RolloutAction
 	for _, m := range members {
 		if l := r.loads[m.GetBackend().GetName()]; l != nil {
@@ -177,17 +223,116 @@
 		}
 	}
 	r.history.Record(now, targets)
-	waiting := r.candidates(now, members, targets)
-	limit := maxOutOfService(countEngines(members), r.longestOutdated(now, waiting, targets))
+	waiting, retries := r.candidates(now, members, targets), r.inDoubt(members, targets)
+	engines := countEngines(members)
+	limit := maxOutOfService(engines, r.longestOutdated(now, slices.Concat(waiting, retries), targets))
+	maxLoads := limit + int(inDoubtShare*float64(engines))
+	free := limit - r.countLoads()
+	// Engines that have no order yet come first: one more order to an engine that may
+	// carry out an earlier one is of less use.
 	for _, m := range waiting {
-		if len(r.loads) >= limit {
+		if free <= 0 || len(r.loads) >= maxLoads {
 			break
 		}
+		free--
 		actions = r.startLoad(now, m, targets, actions)
 	}
+	for _, m := range retries {
+		if free <= 0 {
+			break
+		}
+		if l := r.loads[m.GetBackend().GetName()]; r.retryDue(now, l, targets) {
+			free--
+			l.phase, l.awaitingReply, l.lastProgress = draining, true, now
+			actions = append(actions, RolloutAction{Report: m.GetBackend()})
+		}
+	}
 	return actions
 }
 
+// countLoads returns the number of engines that are out of service, or may go out of
+// service at any moment because an order is on its way to them. An engine whose order is
+// in doubt is not counted until it is seen to load.
+func (r *Rollout) countLoads() int {
+	n := 0
+	for _, l := range r.loads {
+		if l.phase != inDoubt {
+			n++
+		}
+	}
+	return n
+}
+
+// inDoubt returns the engines that are due for another order or wait for it, those
+// first whose last order was sent earliest.
+func (r *Rollout) inDoubt(members []*wire.Member, targets []*wire.WeightsTarget) []*wire.Member {
+	var found []*wire.Member
+	for _, m := range members {
+		l := r.loads[m.GetBackend().GetName()]
+		if l == nil || l.phase != inDoubt || m.GetState() != wire.BackendState_BACKEND_STATE_READY {
+			continue
+		}
+		if model, _ := outdatedModel(m.GetBackend(), targets); model == "" {
+			delete(r.loads, m.GetBackend().GetName())
+			continue
+		}
+		found = append(found, m)
+	}
+	lastOrder := func(m *wire.Member) time.Time {
+		if o := r.loads[m.GetBackend().GetName()].order; o != nil {
+			return o.sentAt
+		}
+		return time.Time{}
+	}
+	slices.SortStableFunc(found, func(a, b *wire.Member) int { return lastOrder(a).Compare(lastOrder(b)) })
+	return found
+}
+
+// replyTime returns how long an order counts as one that may be answered at any moment.
+func (r *Rollout) replyTime() time.Duration {
+	if r.ordersLost {
+		return lostReplyTime
+	}
+	return max(minReplyTime, r.slowestAnswer+r.slowestAnswer/2)
+}
+
+// retryDelay returns the delay after an order that was refused or got no answer, as the
+// given number of orders before it.
+func retryDelay(failures int) time.Duration {
+	delay := orderRetryDelay
+	for ; failures > 0 && delay < maxOrderRetryDelay; failures-- {
+		delay += delay / 2
+	}
+	return min(delay, maxOrderRetryDelay)
+}
+
+// retryDue reports whether an engine whose order is in doubt is due for another one. An
+// order for a newer version does not wait: whichever the engine carries out first voids
+// the others, which expect the same number of accepted orders.
+func (r *Rollout) retryDue(now time.Time, l *load, targets []*wire.WeightsTarget) bool {
+	if l.order != nil && targetVersionOf(l.order.Model, targets) > l.order.Version && now.Sub(l.lastProgress) >= orderRetryDelay {
+		l.failures = 0
+		return true
+	}
+	return !now.Before(l.nextStep)
+}
+
+// ordersAreLost reports whether orders mostly get no answer: at least two engines, and at
+// least half of those that got an order lately, have not answered the last one. Counted by
+// engine, so that one that never answers does not count for all.
+func (r *Rollout) ordersAreLost(now time.Time) bool {
+	lost, all := 0, 0
+	for _, o := range r.outcomes {
+		if now.Sub(o.at) < outcomeMemory {
+			all++
+			if o.lost {
+				lost++
+			}
+		}
+	}
+	return lost >= 2 && 2*lost >= all
+}
+
 // longestOutdated returns the longest time for which any of the engines has been
 // outdated.
 func (r *Rollout) longestOutdated(now time.Time, waiting []*wire.Member, targets []*wire.WeightsTarget) time.Duration {
@@ -229,11 +374,8 @@
 			delete(r.loads, name)
 		}
 	}
-	for name := range r.retryAt {
-		if findMember(members, name) == nil {
-			delete(r.retryAt, name)
-		}
-	}
+	maps.DeleteFunc(r.retryAt, func(name string, _ time.Time) bool { return findMember(members, name) == nil })
+	maps.DeleteFunc(r.outcomes, func(name string, _ orderOutcome) bool { return findMember(members, name) == nil })
 }
 
 // candidates returns the engines that need new weights. Engines that an earlier leader
@@ -241,8 +383,10 @@
 // the ones whose failure domain has the fewest loads.
 func (r *Rollout) candidates(now time.Time, members []*wire.Member, targets []*wire.WeightsTarget) []*wire.Member {
 	loadsByDomain := map[string]int{}
-	for name := range r.loads {
-		loadsByDomain[findMember(members, name).GetBackend().GetFailureDomain()]++
+	for name, l := range r.loads {
+		if l.phase != inDoubt {
+			loadsByDomain[findMember(members, name).GetBackend().GetFailureDomain()]++
+		}
 	}
 	var found []*wire.Member
 	for _, m := range members {
@@ -307,32 +451,42 @@
 }
 
 // startLoad takes an engine out of service for a load. Its order follows once the engine
-// has finished its requests.
+// has finished its requests. If orders are mostly lost, the engine gets the order while
+// it serves requests: many seconds may pass until it loads.
 func (r *Rollout) startLoad(now time.Time, m *wire.Member, targets []*wire.WeightsTarget, actions []RolloutAction) []RolloutAction {
 	b := m.GetBackend()
 	model, _ := outdatedModel(b, targets)
 	l := &load{incarnation: b.GetAgentIncarnation(), phase: draining, model: model, startedAt: now, lastProgress: now, nextStep: now.Add(drainPollInterval)}
 	r.loads[b.GetName()] = l
+	if m.GetState() == wire.BackendState_BACKEND_STATE_READY && r.ordersLost {
+		l.keepServing, l.awaitingReply = true, true
+		return append(actions, RolloutAction{Report: b})
+	}
 	return append(actions, r.takeOutOfService(l, b)...)
 }
 
 // advance takes the next step of a load in progress.
 func (r *Rollout) advance(now time.Time, m *wire.Member, l *load, targets []*wire.WeightsTarget, actions []RolloutAction) []RolloutAction {
 	b := m.GetBackend()
+	if l.phase == inDoubt {
+		return actions
+	}
 	if now.Sub(l.lastProgress) >= progressTimeout {
+		if !l.outOfService {
+			return append(actions, r.doubt(now, l, b)...)
+		}
 		delete(r.loads, b.GetName())
 		r.retryAt[b.GetName()] = now.Add(progressTimeout)
 		return append(actions, r.returnToService(b, nil))
 	}
+	if l.phase == ordering && now.Sub(l.order.sentAt) >= r.replyTime() {
+		r.outcomes[b.GetName()] = orderOutcome{at: now, lost: true}
+		return append(actions, r.doubt(now, l, b)...)
+	}
 	if l.awaitingReply || now.Before(l.nextStep) {
 		return actions
 	}
 	l.awaitingReply = true
-	if l.phase == ordering {
-		return append(actions, RolloutAction{Order: &LoadOrder{
-			Backend: b, Model: l.model, Version: targetVersionOf(l.model, targets), Fencing: r.term, Orders: l.orders, KeepRunning: l.hasRequests,
-		}})
-	}
 	return append(actions, RolloutAction{Report: b})
 }
 
@@ -345,6 +499,9 @@
 	}
 	l.awaitingReply = false
 	if err != nil {
+		if !l.outOfService {
+			return r.doubt(now, l, b)
+		}
 		l.nextStep = now.Add(orderRetryDelay)
 		return nil
 	}
@@ -367,60 +524,97 @@
 		return nil
 	}
 	l.model, l.orders, l.hasRequests = model, report.Orders, report.Answering+report.Waiting > 0
-	if l.hasRequests && now.Sub(l.startedAt) < maxDrainTime {
+	if l.phase == loading && l.conflict {
+		return r.doubt(now, l, b)
+	}
+	if l.hasRequests && !l.keepServing && !r.ordersLost && now.Sub(l.startedAt) < maxDrainTime {
 		l.phase, l.nextStep = draining, now.Add(drainPollInterval)
 		return nil
 	}
+	return r.sendOrder(now, l, b, targets)
+}
+
+// sendOrder sends an order to an engine. Running requests continue if there were any at
+// the last report. They also do if the order may be carried out while the engine serves:
+// otherwise it would refuse all requests until the longest running one has ended, which
+// takes longer than the load.
+func (r *Rollout) sendOrder(now time.Time, l *load, b *wire.Backend, targets []*wire.WeightsTarget) []RolloutAction {
 	if now.Before(r.start) {
 		l.nextStep = r.start
 		return nil
 	}
-	l.phase, l.nextStep, l.awaitingReply = ordering, now, true
-	return []RolloutAction{{Order: &LoadOrder{
-		Backend: b, Model: l.model, Version: targetVersionOf(l.model, targets), Fencing: r.term, Orders: l.orders, KeepRunning: l.hasRequests,
-	}}}
+	l.phase, l.awaitingReply = ordering, true
+	l.order = &LoadOrder{
+		Backend: b, Model: l.model, Version: targetVersionOf(l.model, targets), Fencing: r.term, Orders: l.orders, sentAt: now,
+		KeepRunning: l.hasRequests || l.keepServing || r.ordersLost,
+	}
+	return []RolloutAction{{Order: l.order}}
 }
 
 // ObserveReport processes a report that was requested for its load figures. It shows
 // whether an order that got no answer has been carried out after all.
 func (r *Rollout) ObserveReport(now time.Time, b *wire.Backend, report *EngineReport, targets []*wire.WeightsTarget) []RolloutAction {
-	if l := r.loads[b.GetName()]; l != nil {
-		if l.phase != loading || l.awaitingReply {
-			return nil
-		}
+	l := r.currentLoad(b)
+	if l != nil && l.phase == loading && !l.awaitingReply {
 		return r.Report(now, b, report, nil, targets)
 	}
+	if l == nil && r.loads[b.GetName()] != nil || l != nil && l.outOfService {
+		return nil
+	}
+	if l != nil && l.order != nil && report.Orders <= l.orders {
+		return nil // the last order has not been carried out yet
+	}
 	if report.Busy {
-		l := &load{incarnation: b.GetAgentIncarnation(), lastProgress: now, nextStep: now.Add(loadPollInterval)}
+		if l == nil {
+			l = &load{incarnation: b.GetAgentIncarnation()}
+			r.loads[b.GetName()] = l
+		}
 		l.startLoading(now, report.Orders)
-		r.loads[b.GetName()] = l
+		l.lastProgress, l.nextStep, l.awaitingReply, l.conflict = now, now.Add(loadPollInterval), false, false
 		return r.takeOutOfService(l, b)
 	}
 	if updated := withWeights(b, report.Weights); !proto.Equal(updated, b) {
+		delete(r.loads, b.GetName())
 		return []RolloutAction{r.returnToService(b, updated)}
 	}
 	return nil
 }
 
 // OrderReply processes an engine's reply to an order. A nil error means that the
-// order was accepted. The returned actions must be carried out immediately.
-func (r *Rollout) OrderReply(now time.Time, b *wire.Backend, err error) []RolloutAction {
+// order was accepted, a fault.Conflict that the engine carries out another order or has
+// accepted one since its last report. Any other error with the outcome fault.NotRun is a
+// refusal; without it, the order may still be carried out. The returned actions must be
+// carried out immediately.
+func (r *Rollout) OrderReply(now time.Time, order *LoadOrder, err error) []RolloutAction {
+	b := order.Backend
 	l := r.currentLoad(b)
-	if l == nil {
+	if l == nil || l.order == nil || l.phase == loading {
 		return nil
 	}
-	l.awaitingReply = false
-	if err != nil {
-		// The order may still be carried out; the next report will show that. Until
-		// then the engine serves requests.
-		delete(r.loads, b.GetName())
-		r.retryAt[b.GetName()] = now.Add(orderRetryDelay)
-		return []RolloutAction{r.returnToService(b, nil)}
+	answered := err == nil || fault.From(err).Outcome == fault.NotRun
+	if answered {
+		r.slowestAnswer = max(r.slowestAnswer, now.Sub(order.sentAt))
 	}
-	l.lastProgress = now
-	l.startLoading(now, l.orders+1)
-	l.nextStep = now.Add(firstLoadPollDelay)
-	return nil
+	// An order may be accepted late, when the next one has been sent already. It voids
+	// that one, which expects the same number of accepted orders.
+	late := l.order != order || l.phase != ordering
+	if late && (err != nil || order.Orders != l.order.Orders) {
+		return nil
+	}
+	r.outcomes[b.GetName()] = orderOutcome{at: now, lost: !answered}
+	switch {
+	case err == nil:
+		l.failures, l.conflicts = 0, 0
+		l.startLoading(now, order.Orders+1)
+	case answered && fault.Is(err, fault.Conflict) && l.conflicts == 0:
+		// The engine loads, or has loaded since its last report.
+		l.failures, l.conflicts, l.conflict = l.failures+1, 1, true
+		l.startLoading(now, order.Orders)
+	default:
+		return r.doubt(now, l, b)
+	}
+	l.lastProgress, l.nextStep, l.awaitingReply = now, now.Add(firstLoadPollDelay), false
+	return r.takeOutOfService(l, b)
 }
 
 // startLoading records that the engine loads and that it has accepted the given number
@@ -432,6 +626,25 @@
 	l.phase, l.loadingOrders = loading, orders
 }
 
+// doubt lets an engine serve whose order was refused or got no answer. It gets the next
+// order after a delay, without being taken out of service: most engines that fail to
+// answer once do so again, and each time would cost them their work.
+func (r *Rollout) doubt(now time.Time, l *load, b *wire.Backend) []RolloutAction {
+	l.phase, l.keepServing, l.awaitingReply, l.conflict = inDoubt, true, false, false
+	l.nextStep = now.Add(retryDelay(l.failures))
+	l.failures++
+	return r.serveAgain(l, b)
+}
+
+// serveAgain returns an engine to service without an end of its load.
+func (r *Rollout) serveAgain(l *load, b *wire.Backend) []RolloutAction {
+	if !l.outOfService {
+		return nil
+	}
+	l.outOfService = false
+	return []RolloutAction{r.returnToService(b, nil)}
+}
+
 // takeOutOfService proposes the change to LOADING once for each load.
 func (r *Rollout) takeOutOfService(l *load, b *wire.Backend) []RolloutAction {
 	if l.outOfService {
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -44,9 +44,9 @@
 
 // reply is the outcome of an order that the rollout learns at a later time.
 type reply struct {
-	at  time.Time
-	b   *wire.Backend
-	err error
+	at    time.Time
+	order *LoadOrder
+	err   error
 	// rollout is the one that sent the order.
 	rollout *Rollout
 }
@@ -75,12 +75,16 @@
 
 	// rng draws the fate of each order. If it is nil, all orders are answered.
 	rng *rand.Rand
-	// lost is the share of orders that get no answer. They are carried out fakeMinDelay
-	// to fakeMaxDelay later.
+	// lost is the share of orders that get no answer. They are carried out minDelay to
+	// maxDelay later.
 	lost    float64
 	replies []reply
 	// observe is set if the leader takes a load report twice a second.
 	observe bool
+	// minDelay and maxDelay bound the delay of lost orders.
+	minDelay, maxDelay time.Duration
+	// answerTime is the time until the answer to an order that is not lost.
+	answerTime time.Duration
 	// reportAge is the age of the states in reports.
 	reportAge time.Duration
 	// store is set if loads share the weight store.
@@ -88,6 +92,8 @@
 	// sent is the number of orders sent, conflicts the number of those refused with a
 	// conflict, and loads the number of loads begun.
 	sent, conflicts, loads int
+	// sentInService is the number of orders sent to engines that serve.
+	sentInService int
 	// check, if set, is called after each step.
 	check func()
 }
@@ -96,8 +102,6 @@
 	fakeLoadTime = 570 * time.Millisecond
 	// fakeOrderTimeout is when the leader gives up the wait for an answer.
 	fakeOrderTimeout = time.Second
-	fakeMinDelay     = 2 * time.Second
-	fakeMaxDelay     = 12 * time.Second
 	// fakeStoreLoads is the number of loads that the weight store serves at full speed.
 	fakeStoreLoads = 3
 	fakeStep       = 50 * time.Millisecond
@@ -105,7 +109,7 @@
 )
 
 func newRolloutHarness(t *testing.T, engines int) *rolloutHarness {
-	h := &rolloutHarness{t: t, now: time.Unix(1000, 0), memberByName: map[string]*wire.Member{}}
+	h := &rolloutHarness{t: t, now: time.Unix(1000, 0), memberByName: map[string]*wire.Member{}, minDelay: 2 * time.Second, maxDelay: 12 * time.Second}
 	h.rollout = NewRollout(7, h.now, 0)
 	for i := range engines {
 		e := &fakeEngine{name: fmt.Sprintf("e%02d", i), version: 1, state: wire.BackendState_BACKEND_STATE_READY}
@@ -161,6 +165,17 @@
 	return n
 }
 
+// ableToServe returns the number of engines that are in service and not loading.
+func (h *rolloutHarness) ableToServe() int {
+	n := 0
+	for _, e := range h.engines {
+		if e.pendingVersion == 0 && h.memberByName[e.name].State == wire.BackendState_BACKEND_STATE_READY {
+			n++
+		}
+	}
+	return n
+}
+
 // stepEngines finishes loads, carries out delayed orders that are due, and records the
 // states for reports.
 func (h *rolloutHarness) stepEngines() {
@@ -193,7 +208,7 @@
 	h.replies = later
 	for _, r := range due {
 		if r.rollout == h.rollout {
-			h.perform(h.rollout.OrderReply(h.now, r.b, r.err))
+			h.perform(h.rollout.OrderReply(h.now, r.order, r.err))
 		}
 	}
 }
@@ -210,14 +225,25 @@
 // send sends an order to its engine.
 func (h *rolloutHarness) send(o *LoadOrder) {
 	h.sent++
-	e, b := h.engine(o.Backend.Name), o.Backend
+	if h.memberByName[o.Backend.Name].State == wire.BackendState_BACKEND_STATE_READY {
+		h.sentInService++
+		if !o.KeepRunning {
+			h.t.Errorf("%s serves and would refuse calls until its longest request has ended", o.Backend.Name)
+		}
+	}
+	e := h.engine(o.Backend.Name)
 	if h.rng != nil && h.rng.Float64() < h.lost {
-		delay := fakeMinDelay + time.Duration(h.rng.Int64N(int64(fakeMaxDelay-fakeMinDelay)))
+		delay := h.minDelay + time.Duration(h.rng.Int64N(int64(h.maxDelay-h.minDelay+1)))
 		e.delayed = append(e.delayed, delayedOrder{h.now.Add(delay), o})
-		h.replies = append(h.replies, reply{h.now.Add(fakeOrderTimeout), b, context.DeadlineExceeded, h.rollout})
+		h.replies = append(h.replies, reply{h.now.Add(fakeOrderTimeout), o, context.DeadlineExceeded, h.rollout})
+		return
+	}
+	err := h.carryOut(e, o)
+	if h.answerTime > 0 {
+		h.replies = append(h.replies, reply{h.now.Add(h.answerTime), o, err, h.rollout})
 		return
 	}
-	h.perform(h.rollout.OrderReply(h.now, b, h.carryOut(e, o)))
+	h.perform(h.rollout.OrderReply(h.now, o, err))
 }
 
 // carryOut lets an order reach its engine.
@@ -401,7 +427,10 @@
 	old := h.engines[0].backend()
 	old.AgentIncarnation = 99
 	is.Equal(len(h.rollout.Report(h.now, old, &EngineReport{}, nil, h.targets)), 0)
-	is.Equal(len(h.rollout.OrderReply(h.now, old, nil)), 0)
+	l := h.rollout.loads["e00"]
+	l.phase, l.order = ordering, &LoadOrder{Backend: old}
+	is.Equal(len(h.rollout.OrderReply(h.now, l.order, nil)), 0)
+	is.Equal(l.phase, ordering)
 }
 
 // A load report that shows the engine as it was before it accepted the order must not end
