--- a/internal/fleet/rollout_lost_test.go
+++ b/internal/fleet/rollout_lost_test.go
@@ -332,3 +332,58 @@
 	is.Equal(h.loads, 15)
 	is.True(h.sent <= 15+25)
 }
+
+// Orders for several models of an engine must not be mixed up: while one is in doubt, the
+// next is for the same model and expects the same number of accepted orders; once it
+// has been carried out, the order for the other model expects one more.
+func TestOrdersInDoubtForSeveralModels(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	b := &wire.Backend{Name: "e", Address: "10.0.0.1:1", AgentIncarnation: 1,
+		Models: []*wire.LoadedModel{{Model: "a", WeightsVersion: "1"}, {Model: "b", WeightsVersion: "4"}}}
+	member := &wire.Member{Backend: b, State: wire.BackendState_BACKEND_STATE_READY}
+	targets := []*wire.WeightsTarget{{Model: "a", Version: 2}, {Model: "b", Version: 5}}
+	report := &EngineReport{Weights: map[string]uint64{"a": 1, "b": 4}, Orders: 3}
+	r := NewRollout(7, now, 0)
+	var orders []*LoadOrder
+	var perform func(actions []RolloutAction)
+	perform = func(actions []RolloutAction) {
+		for _, a := range actions {
+			switch {
+			case a.Propose != nil && a.Propose.Kind == wire.BackendChange_KIND_LOADED:
+				member = &wire.Member{Backend: member.Backend, State: wire.BackendState_BACKEND_STATE_READY}
+				if a.Propose.Backend != nil {
+					member.Backend = a.Propose.Backend
+				}
+			case a.Propose != nil:
+				member = &wire.Member{Backend: member.Backend, State: wire.BackendState_BACKEND_STATE_LOADING}
+			case a.Report != nil:
+				perform(r.Report(now, a.Report, report, nil, targets))
+			case a.Order != nil:
+				orders = append(orders, a.Order)
+			}
+		}
+	}
+	run := func(d time.Duration) {
+		for end := now.Add(d); now.Before(end); now = now.Add(fakeStep) {
+			perform(r.Plan(now, []*wire.Member{member}, targets))
+		}
+	}
+	run(4 * time.Second)
+	is.True(len(orders) >= 3)
+	for _, o := range orders {
+		is.Equal(o.Model, "a")
+		is.Equal(o.Version, uint64(2))
+		is.Equal(o.Orders, uint64(3))
+	}
+	report = &EngineReport{Weights: map[string]uint64{"a": 2, "b": 4}, Orders: 4}
+	perform(r.ObserveReport(now, member.Backend, report, targets))
+	before := len(orders)
+	run(4 * time.Second)
+	is.True(len(orders) > before)
+	for _, o := range orders[before:] {
+		is.Equal(o.Model, "b")
+		is.Equal(o.Version, uint64(5))
+		is.Equal(o.Orders, uint64(4))
+	}
+}
