forward: an answer without a length that was reset is not whole

Seen by callers: a server answers a long upload at once with a 200 without a length, sends a part of its body and resets the connection while the request is still being written. The caller gets the part as a whole answer, also on HTTP/1.0.

Cause: the kernel reports a reset once. The write of the request takes the error (ECONNRESET), and the read behind it sees a plain end of the connection, which ends an answer without a length. A server that ends its half of the connection in an orderly way before it has read the request looked the same as one that answered it whole.

Change: package connend. Reads on a connection on which a write has failed, or that is in the state of a reset (TCP_INFO), end with an error. A body that ends with its connection is whole only if, at its end, the request was written without an error, the server has acknowledged all of it, and the connection was not reset; this is waited for, for 500 ms at most. Bodies that nobody gets are not waited for.

Cost: an early answer without a length whose server closes the connection without reading the rest of a long request can't be told from a part, also if it is whole: idempotent calls go on elsewhere, others get 502, up to 500 ms later if the server keeps its half open. Servers that read the request, before or after their answer, lose nothing.

--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -21,6 +21,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"parsleypulley/internal/connend"
 	"parsleypulley/internal/membudget"
 )
 
@@ -126,11 +127,7 @@
 
 // setUserTimeout sets TCP_USER_TIMEOUT on the connection; 0 stands for none.
 func (c *conn) setUserTimeout(timeout time.Duration) error {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -168,7 +165,7 @@
 
 // conn is a connection to a backend server. It carries one call at a time.
 type conn struct {
-	net.Conn
+	*connend.Conn
 	address string
 	r       *bufio.Reader
 	// head limits what is read for the head of a response.
@@ -276,12 +273,13 @@
 
 // dial opens a new connection to address.
 func (p *connPool) dial(ctx context.Context, address string) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialed, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		connections.Add("failed", 1)
 		return nil, err
 	}
 	connections.Add("opened", 1)
+	raw := connend.New(dialed)
 	head := &headLimiter{r: raw}
 	return &conn{Conn: raw, address: address, r: bufio.NewReaderSize(head, readBuffer), head: head, memory: p.memory}, nil
 }
@@ -368,6 +366,9 @@
 	if err := c.SetReadDeadline(limit); err != nil {
 		return err
 	}
+	if b, ok := body.(*closeDelimitedBody); ok {
+		body = b.ReadCloser // nobody gets the body, so whether it is whole does not matter
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes))
 	switch {
 	case err != nil:
@@ -475,11 +476,7 @@
 	if c.r.Buffered() > 0 {
 		return true, true
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false, true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false, false
 	}
@@ -512,6 +509,9 @@
 			return nil, reqWrite, true, err
 		}
 		if isMatch(resp) {
+			if endsWithConnection(resp) {
+				resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, conn: c.Conn, written: reqWrite.finished}
+			}
 			return resp, reqWrite, true, nil
 		}
 		if err := c.discard(resp.Body, strayTimeout); err != nil {
@@ -521,6 +521,37 @@
 	return nil, reqWrite, true, errOtherCall
 }
 
+// endsWithConnection reports whether only the end of its connection marks the end of a response.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+// closeDelimitedBody is a body whose end is that of its connection. It ends with io.EOF only if the connection ended in
+// an orderly way behind the whole request.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	conn *connend.Conn
+	// written is closed when writing of the request has ended.
+	written <-chan struct{}
+	// end is the error that ended the body.
+	end error
+}
+
+// Read implements io.Reader.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if cut := b.conn.AwaitDelivery(b.written); cut != nil {
+			err = cut
+		}
+	}
+	b.end = err
+	return n, err
+}
+
 // requestWrite is the state of writing a request.
 type requestWrite struct {
 	// sent is set if any byte may have been written.
