forward: answers whose status is none are no answers

Seen by callers: an answer with the status 600, 799 or 999 and the call's ID was passed on as it is. Statuses 000 to 099 and 101 were skipped like interim answers, and an answer behind them was taken for that of the call.

Without the ID statuses from 600 on gave 502, as found before.

Change: a status must be 100 to 599, and not 101, for which no request asks. Else the attempt has got no answer: another server or 502.

--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -607,6 +607,15 @@
 	return n, err
 }
 
+// errInvalidStatus is returned for a response whose status is none.
+var errInvalidStatus = errors.New("the status of the response is invalid")
+
+// isStatus reports whether a response may have the status. 101 switches to another protocol, for which no request asks:
+// what follows it is no response.
+func isStatus(status int) bool {
+	return status >= 100 && status < 600 && status != http.StatusSwitchingProtocols
+}
+
 // readHead reads the headers of the next response and skips interim (1xx)
 // responses.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
@@ -614,8 +623,11 @@
 	defer c.head.end()
 	for range maxInterimResponses + 1 {
 		resp, err := http.ReadResponse(c.r, req)
-		if err != nil {
+		switch {
+		case err != nil:
 			return nil, err
+		case !isStatus(resp.StatusCode):
+			return nil, fmt.Errorf("%w: %d", errInvalidStatus, resp.StatusCode)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			if c.head.hold != nil {
