--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -132,7 +132,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	idle := newIdleTimer(h.limits.IdleTimeout, cancel)
 	var sent atomic.Bool
-	record := &record{}
+	record := newRecord()
 	hreq, err := h.newRequest(record.trace(traceConn(ctx, &sent)), req)
 	if err != nil {
 		idle.stop()
@@ -155,6 +155,9 @@
 	if resp.Header.Get(dialect.RequestID) == "" {
 		h.singleUseUntil.Store(time.Now().Add(singleUseTime).UnixNano())
 	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+		record.endsWithConnection()
+	}
 	response := &httpResponse{resp: resp, ctx: ctx, cancel: cancel, idle: idle, tokens: req.ResumeOffset, limits: h.limits, record: record}
 	if err := response.readHead(h, req); err != nil {
 		response.Close()
--- a/internal/engine/recorded.go
+++ b/internal/engine/recorded.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"parsleypulley/internal/connend"
 	"parsleypulley/internal/engine/dialect"
 	"parsleypulley/internal/responsescan"
 )
@@ -25,7 +28,9 @@
 // recordedConn records the beginning of the response to each request, until the response is known not to be a
 // refusal: net/http does not tell what has arrived behind a response.
 type recordedConn struct {
-	net.Conn
+	*connend.Conn
+	// requestWritten is set if the current response ends with the connection, and closed when its request is written.
+	requestWritten atomic.Pointer[chan struct{}]
 
 	mu sync.Mutex
 	// request is the number of the request that got the connection last.
@@ -40,11 +45,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return &recordedConn{Conn: c}, nil
+	return &recordedConn{Conn: connend.New(c)}, nil
 }
 
 func (c *recordedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	if written := c.requestWritten.Load(); written != nil && errors.Is(err, io.EOF) {
+		if cut := c.AwaitDelivery(*written); cut != nil {
+			err = cut
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.recording && n > 0 {
@@ -78,6 +88,22 @@
 type record struct {
 	conn    *recordedConn
 	request int
+	// written is closed by endWrite when the request is written, or can't be.
+	written  chan struct{}
+	endWrite func()
+}
+
+func newRecord() *record {
+	written := make(chan struct{})
+	return &record{written: written, endWrite: sync.OnceFunc(func() { close(written) })}
+}
+
+// endsWithConnection is called for a response whose end only the end of its connection marks, before its body is read.
+// The body then ends with io.EOF only if the connection ended in an orderly way behind the whole request.
+func (r *record) endsWithConnection() {
+	if r.conn != nil {
+		r.conn.requestWritten.Store(&r.written)
+	}
 }
 
 // trace returns a context with which the connection of the request records the response.
@@ -86,7 +112,7 @@
 		if r.conn, _ = info.Conn.(*recordedConn); r.conn != nil {
 			r.request = r.conn.begin()
 		}
-	}})
+	}, WroteRequest: func(httptrace.WroteRequestInfo) { r.endWrite() }}) // a request with a body is written once
 }
 
 func (r *record) end() []byte {
--- a/internal/keptconn/keptconn.go
+++ b/internal/keptconn/keptconn.go
@@ -14,6 +14,8 @@
 	"net/http/httptrace"
 	"sync"
 	"time"
+
+	"parsleypulley/internal/connend"
 )
 
 // SettleTime is how long a Client waits for bytes behind a response by default. A server that writes a copy
@@ -49,7 +51,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &conn{Conn: c, changed: make(chan struct{})}, nil
+		return &conn{Conn: connend.New(c), changed: make(chan struct{})}, nil
 	}
 	fresh := t.Clone()
 	fresh.DisableKeepAlives = true
--- a/internal/keptconn/keptconn_test.go
+++ b/internal/keptconn/keptconn_test.go
@@ -213,3 +213,24 @@
 	_, _, err = client.Do(req, 0)
 	is.True(errors.Is(err, ErrTooLong))
 }
+
+// Guards against a part of a response without a length that is taken for a whole one: the server resets the connection
+// while the query is still being written.
+func TestResponsesThatAreResetAreNotWhole(t *testing.T) {
+	is := is.New(t)
+	s := startServer(t, func(c net.Conn, _ *http.Request, _ int) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	whole := 0
+	c := New(&http.Transport{}, SettleTime)
+	for range 50 {
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+s.address+"/", strings.NewReader(strings.Repeat("x", 1<<20)))
+		is.NoErr(err)
+		if _, _, err := c.Do(req, 1000); err == nil {
+			whole++
+		}
+	}
+	is.Equal(whole, 0)
+}
