engine: control answers whose status is none are no answers

Seen: a health check, a report of the load or an import of cached state that was answered with 000, 001, 099 or 101 counted as done, as only statuses from 400 on were errors.

Evidence, code before: 48 of 72 cases of TestStatusesThatAreNone failed, all in control requests; answers to calls with these statuses, and with 600 and 999, were refused already (readHead), on engines and plain services, streams or not, at most once or not.

Change: a status outside 200 to 599 is a broken answer.

Result: 72 of 72 cases pass.

--- a/internal/engine/control.go
+++ b/internal/engine/control.go
@@ -41,6 +41,9 @@
 	if err != nil {
 		return nil, controlError(err, sent.Load())
 	}
+	if resp.StatusCode < http.StatusOK || resp.StatusCode >= statusLimit {
+		return nil, fault.New(fault.StreamBroken, fault.Unknown, "%s: status %d", path, resp.StatusCode)
+	}
 	if resp.StatusCode >= http.StatusBadRequest {
 		return nil, statusError(path, resp, data)
 	}
