forward: test that calls with a reset answer go on elsewhere, unless they run at most once

TestResetAnswersGoOnElsewhere plays a server that resets its answer to an upload, beside a sound one.

--- a/internal/forward/cutanswer_test.go
+++ b/internal/forward/cutanswer_test.go
@@ -255,3 +255,54 @@
 	is.Equal(status, http.StatusServiceUnavailable)
 	is.True(time.Since(began) < 400*time.Millisecond)
 }
+
+// Guards against calls that end with a reset answer although another server may serve them, and against calls that are
+// sent there although they must not run twice.
+func TestResetAnswersGoOnElsewhere(t *testing.T) {
+	for name, test := range map[string]struct {
+		stream, atMostOnce bool
+		first, want        string
+	}{
+		"plain":              {false, false, "part", "whole"},
+		"plain, once":        {false, true, "part", ""},
+		"stream":             {true, false, eventText(1, 2), eventText(1, 5)},
+		"stream, half event": {true, false, eventText(1, 2) + "id: 3\nda", eventText(1, 5)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for range 20 {
+				is := is.New(t)
+				var made atomic.Int32
+				reset := resetAfter(0, "HTTP/1.1", streamType, test.first)
+				script := func(c net.Conn, r *http.Request) {
+					if made.Add(1) == 1 {
+						reset(c, r)
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					body := test.want
+					if test.stream {
+						after := 0
+						_, _ = fmt.Sscan(r.Header.Get("After"), &after)
+						body = eventText(after+1, 5)
+					}
+					fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nCall: %s\r\nSigned: yes\r\n%s\r\n%s", r.Header.Get("Call"), streamType, body)
+				}
+				r := newFixture(t, forwardRoute(func(r *wire.ForwardRoute) {
+					r.Stream, r.Resumable = test.stream, test.stream
+					if test.atMostOnce {
+						setAtMostOnce(r)
+					}
+				}), cuttingBackend(t, 0, false, script), cuttingBackend(t, 0, false, script))
+				status, text, complete := r.callWithBody(newCaller(t), strings.Repeat("x", 64<<10))
+				is.True(complete)
+				if test.want == "" {
+					is.Equal(status, http.StatusBadGateway)
+					is.Equal(made.Load(), int32(1))
+					continue
+				}
+				is.Equal(status, http.StatusOK)
+				is.Equal(text, test.want)
+			}
+		})
+	}
+}
