connend: a write that this end has ended is no break by the peer

By reading, not seen: a deadline or a cancellation of the call while the end of an answer was being checked gave ErrReset, which counts as a sign that the server was broken (forward, recordBreak). An end before the whole request had arrived gave an error that counts as none.

Change: the error of a closed connection or of a deadline is returned as it is, and ErrUndelivered is an unexpected end of the connection.

--- a/internal/connend/connend.go
+++ b/internal/connend/connend.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -28,14 +29,14 @@
 	// ErrReset is returned where a connection that was reset looks as if it had ended in an orderly way.
 	ErrReset = fmt.Errorf("the connection did not end in an orderly way: %w", syscall.ECONNRESET)
 	// ErrUndelivered is returned if the peer has ended the connection and has not got all that was written.
-	ErrUndelivered = errors.New("the connection ended before the peer had got the whole request")
+	ErrUndelivered = fmt.Errorf("the connection ended before the peer had got the whole request: %w", io.ErrUnexpectedEOF)
 )
 
 // Conn is a connection whose reads return io.EOF only for an orderly end.
 type Conn struct {
 	net.Conn
-	// writeFailed is set once a write has returned an error, which may be that of a reset.
-	writeFailed atomic.Bool
+	// writeErr is the error of the first write that failed, which may be that of a reset.
+	writeErr atomic.Pointer[error]
 }
 
 // New returns c as a Conn. Resets are told from orderly ends only if c is a TCP connection or gives access to one as a
@@ -54,20 +55,35 @@
 }
 
 // Read implements net.Conn. At the end of a connection on which a write has failed, or that was reset, it returns
-// ErrReset.
+// ErrReset, or the error of the write if that came from this end: a deadline, or the closing of the connection.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, io.EOF) && (c.writeFailed.Load() || c.state() == stateReset) {
-		err = ErrReset
+	if errors.Is(err, io.EOF) {
+		if cut := c.failure(c.state()); cut != nil {
+			err = cut
+		}
 	}
 	return n, err
 }
 
+// failure returns the error of a connection whose end was read; nil if it has ended in an orderly way.
+func (c *Conn) failure(state connState) error {
+	switch err := c.writeErr.Load(); {
+	case state == stateClosed:
+		return net.ErrClosed
+	case err != nil && (errors.Is(*err, os.ErrDeadlineExceeded) || errors.Is(*err, net.ErrClosed)):
+		return *err
+	case err != nil || state == stateReset:
+		return ErrReset
+	}
+	return nil
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err != nil {
-		c.writeFailed.Store(true)
+		c.writeErr.CompareAndSwap(nil, &err)
 	}
 	return n, err
 }
@@ -97,11 +113,8 @@
 	defer poll.Stop()
 	for {
 		state := c.state()
-		switch {
-		case state == stateReset || c.writeFailed.Load():
-			return ErrReset
-		case state == stateDelivered:
-			return nil
+		if err := c.failure(state); err != nil || state == stateDelivered {
+			return err
 		}
 		select {
 		case <-poll.C:
@@ -115,8 +128,10 @@
 type connState int
 
 const (
-	// stateReset: the connection was reset, also behind an orderly end, or is closed.
+	// stateReset: the connection was reset, also behind an orderly end.
 	stateReset connState = iota
+	// stateClosed: this end has closed the connection.
+	stateClosed
 	// stateInFlight: the peer has not acknowledged all that was written.
 	stateInFlight
 	// stateDelivered: it has. This is also the state of a connection that is not TCP.
@@ -142,7 +157,7 @@
 		}
 	})
 	if controlErr != nil {
-		return stateReset
+		return stateClosed
 	}
 	return state
 }
