forward, engine: answers of HTTP/1.0 with chunks are broken

Seen by callers: an answer of HTTP/1.0 with "Transfer-Encoding: chunked" came with the chunks' sizes in its body, as a whole 200, also without the last chunk and on both paths.

Cause: net/http ignores that header in HTTP/1.0 and takes the rest of the connection for the body. Such framing is faulty (RFC 9112, section 6.1).

Evidence, code before: TestChunksInHTTP10 fails on routes (200 with "4\r\npart\r\n") and in internal/engine.

Change: the head is looked at before it is read (routes; heads within the read buffer of 4 KiB) or in the record of the connection (agents; 8 KiB). A longer head is not looked at.

--- a/internal/engine/cutanswer_test.go
+++ b/internal/engine/cutanswer_test.go
@@ -181,3 +181,16 @@
 		}
 	}
 }
+
+// Guards against answers of HTTP/1.0 with chunks, which that does not have and which were taken for the body as they are.
+func TestChunksInHTTP10(t *testing.T) {
+	for _, plain := range []bool{false, true} {
+		h := newClient(t, serveConnections(t, func(c net.Conn, br *bufio.Reader) {
+			if readRequest(br) != nil {
+				io.WriteString(c, "HTTP/1.0 200 OK\r\n"+echo("r1", "2")+"Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n")
+			}
+		}), plain, Limits{})
+		_, _, err := readAll(h, testRequest(false))
+		is.New(t).True(err != nil)
+	}
+}
--- a/internal/engine/response.go
+++ b/internal/engine/response.go
@@ -15,6 +15,7 @@
 
 	"parsleypulley/internal/engine/dialect"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/responsescan"
 )
 
 // httpResponse reads the HTTP response to one request. It implements Response.
@@ -64,7 +65,9 @@
 		}
 		return r.refusal(refusal)
 	}
-	r.record.end()
+	if responsescan.FaultyFraming(r.record.end()) {
+		return fault.New(fault.StreamBroken, fault.Unknown, "backend server answered with chunks, which HTTP/1.0 does not have")
+	}
 	if err := r.checkRequestID(h, req); err != nil {
 		return err
 	}
--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"expvar"
@@ -23,6 +24,7 @@
 
 	"parsleypulley/internal/connend"
 	"parsleypulley/internal/membudget"
+	"parsleypulley/internal/responsescan"
 )
 
 // Timeouts and limits of connections to backend servers.
@@ -607,6 +609,25 @@
 	return n, err
 }
 
+// errFaultyFraming is returned for a response whose body has no certain end.
+var errFaultyFraming = errors.New("the response has chunks, which its version of HTTP does not have")
+
+// hasFaultyFraming reports whether the next head is one of HTTP/1.0 with a Transfer-Encoding. A head that does not fit
+// into the read buffer is not looked at. Errors are left to the reader of the head.
+func (c *conn) hasFaultyFraming() bool {
+	const version = "HTTP/1.0"
+	if start, _ := c.r.Peek(len(version)); string(start) != version {
+		return false
+	}
+	for n := c.r.Buffered(); n <= c.r.Size(); n = max(n+1, c.r.Buffered()) {
+		head, err := c.r.Peek(n)
+		if bytes.Contains(head, []byte("\n\r\n")) || bytes.Contains(head, []byte("\n\n")) || err != nil {
+			return responsescan.FaultyFraming(head)
+		}
+	}
+	return false
+}
+
 // errInvalidStatus is returned for a response whose status is none.
 var errInvalidStatus = errors.New("the status of the response is invalid")
 
@@ -622,8 +643,11 @@
 	c.head.begin()
 	defer c.head.end()
 	for range maxInterimResponses + 1 {
+		faulty := c.hasFaultyFraming()
 		resp, err := http.ReadResponse(c.r, req)
 		switch {
+		case faulty:
+			return nil, errFaultyFraming
 		case err != nil:
 			return nil, err
 		case !isStatus(resp.StatusCode):
--- a/internal/forward/cutanswer_test.go
+++ b/internal/forward/cutanswer_test.go
@@ -306,3 +306,22 @@
 		})
 	}
 }
+
+// Guards against answers of HTTP/1.0 with chunks, which that does not have: callers got the chunks as they are for the
+// body, also if the last one was missing.
+func TestChunksInHTTP10(t *testing.T) {
+	for _, pause := range []time.Duration{0, 5 * time.Millisecond} {
+		for _, end := range []string{"", "0\r\n\r\n"} {
+			is := is.New(t)
+			backend := cuttingBackend(t, 6, false, func(c net.Conn, r *http.Request) {
+				fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nCall: %s\r\n", r.Header.Get("Call"))
+				time.Sleep(pause)
+				fmt.Fprintf(c, "Signed: yes\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n%s", end)
+			})
+			r := newFixture(t, forwardRoute(nil), backend)
+			status, _, complete := r.callWithBody(newCaller(t), "longer")
+			is.True(complete)
+			is.Equal(status, http.StatusBadGateway)
+		}
+	}
+}
--- a/internal/responsescan/responsescan.go
+++ b/internal/responsescan/responsescan.go
@@ -15,6 +15,8 @@
 	protocol = []byte("HTTP/1.")
 	lineEnd  = []byte("\r\n")
 	headEnd  = []byte("\r\n\r\n")
+
+	transferEncoding = []byte("Transfer-Encoding")
 )
 
 // Contains reports whether data, which arrived behind the head of a response, may contain the head of another
@@ -55,6 +57,35 @@
 	}
 }
 
+// FaultyFraming reports whether the first head in data that is not that of an interim response is one of HTTP/1.0 with
+// a Transfer-Encoding, which that does not have. net/http ignores it there, and takes the chunks for the body as it is,
+// also if the last one is missing. It returns false for a head that is not whole.
+func FaultyFraming(data []byte) bool {
+	for {
+		end := bytes.Index(data, []byte("\n\r\n"))
+		if i := bytes.Index(data, []byte("\n\n")); i >= 0 && (end < 0 || i < end) {
+			end = i
+		}
+		if end < 0 {
+			return false
+		}
+		head := data[:end]
+		if bytes.HasPrefix(head, protocol) && len(head) > len("HTTP/1.0 1") && head[len("HTTP/1.0 ")] == '1' { // interim
+			data = bytes.TrimLeft(data[end:], "\r\n")
+			continue
+		}
+		if !bytes.HasPrefix(head, []byte("HTTP/1.0 ")) {
+			return false
+		}
+		for line := range bytes.SplitSeq(head, []byte("\n")) {
+			if name, _, ok := bytes.Cut(line, []byte(":")); ok && bytes.EqualFold(bytes.TrimSpace(name), transferEncoding) {
+				return true
+			}
+		}
+		return false
+	}
+}
+
 // readHead reads the head of a response, as far as it has whole lines; status is 0 if it is none.
 func readHead(data []byte) (status int, header http.Header) {
 	if end := bytes.Index(data, headEnd); end >= 0 {
