consensus: a replica that stood still says so, and how long it waited for its disk

A soak beside load had no commit at any replica for 7 s, several times, also without a change of leader. The logs could not tell whether the replicas had no processor, or waited for their disks: `stalled_ms` of `leader has lost the quorum` appears only when a leader steps down, and replicas that stand still at the same time don't elect another one.

A replica that ran no timers for an election timeout or longer logs `the replica stood still` with the whole time and the time at the disk. TestStandstillOfAReplicaIsLogged: a disk that takes 400 ms longer.

--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -61,8 +61,11 @@
 
 // runCycle runs the timers that are due and then processes all pending work.
 func (n *Node) runCycle(now time.Time) {
-	if now.Sub(n.lastTick) >= n.config.TickInterval {
-		n.lastTick = now
+	if since := now.Sub(n.lastTick); since >= n.config.TickInterval {
+		if !n.lastTick.IsZero() && since >= n.config.ElectionTimeout {
+			event.ReplicaStoodStill(n.self(), since, n.diskTime)
+		}
+		n.lastTick, n.diskTime = now, 0
 		n.replica.Tick(now)
 		n.requestJoin(now)
 		n.markSynced()
@@ -203,6 +206,8 @@
 		return nil
 	}
 	n.syncMarked = false
+	began := steady.Now()
+	defer func() { n.diskTime += steady.Now().Sub(began) }()
 	if rd.Snapshot != nil {
 		if err := n.config.Store.Save(rd.HardState, nil); err != nil {
 			return err
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -146,6 +146,8 @@
 	// queuedProposals are proposals that are not yet in the log.
 	queuedProposals []*proposal
 	lastTick        time.Time
+	// diskTime is the time spent in the store since lastTick.
+	diskTime        time.Duration
 	lastJoinRequest time.Time
 	// syncMarked is set once Store.MarkSynced has been called for the last synced
 	// batch.
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -113,10 +113,11 @@
 	n.cut[address] = isolated
 }
 
-// faultyDisk is a disk whose syncs fail once fail is set.
+// faultyDisk is a disk whose syncs fail once fail is set, and take as many nanoseconds longer as delay says.
 type faultyDisk struct {
 	storage.Disk
-	fail atomic.Bool
+	fail  atomic.Bool
+	delay atomic.Int64
 }
 
 type faultyFile struct {
@@ -138,6 +139,7 @@
 	if f.disk.fail.Load() {
 		return syscall.EIO
 	}
+	time.Sleep(time.Duration(f.disk.delay.Load()))
 	return f.File.Sync()
 }
 
--- a/internal/consensus/standstill_test.go
+++ b/internal/consensus/standstill_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/matryer/is"
 
 	"parsleypulley/internal/wire"
@@ -141,3 +142,36 @@
 		is.Equal(sim.newestTerm, term)
 	}
 }
+
+// Guards against logs that don't tell why nothing is committed although no leader changes: replicas whose disks are
+// slow stand still at the same time.
+func TestStandstillOfAReplicaIsLogged(t *testing.T) {
+	is := is.New(t)
+	logger := log.Log.(*log.Logger)
+	before := logger.Handler
+	stalled := make(chan log.Fields, 100)
+	log.SetHandler(log.HandlerFunc(func(e *log.Entry) error {
+		if e.Message == "the replica stood still" {
+			stalled <- e.Fields
+		}
+		return nil
+	}))
+	t.Cleanup(func() { log.SetHandler(before) })
+	c := newTestCluster(t, 1, Config{ElectionTimeout: 200 * time.Millisecond})
+	c.propose("first")
+	disk := c.disks[address(0)]
+	disk.delay.Store(int64(400 * time.Millisecond))
+	c.propose("second")
+	disk.delay.Store(0)
+	c.waitFor("a line with the time at the disk", func() bool {
+		select {
+		case fields := <-stalled:
+			t.Log(fields)
+			disk, total := fields["disk_ms"].(int64), fields["stalled_ms"].(int64)
+			is.True(total >= 200 && disk <= total) // others come from a busy machine
+			return disk >= 400
+		default:
+			return false
+		}
+	})
+}
--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -39,6 +39,14 @@
 	log.WithFields(fields).Warn("leader has lost the quorum")
 }
 
+// ReplicaStoodStill logs that a replica ran no timers and handled no messages for at least an election timeout, and
+// how much of that time it waited for its disk. The rest is time without a processor, or a command that took long.
+func ReplicaStoodStill(r Replica, stalled, disk time.Duration) {
+	fields := r.fields()
+	fields["stalled_ms"], fields["disk_ms"] = milliseconds(stalled), milliseconds(disk)
+	log.WithFields(fields).Warn("the replica stood still")
+}
+
 // ReplicaSetChanged logs that the leader promoted, demoted or removed a replica by
 // itself. silence is the time since that replica was last heard of.
 func ReplicaSetChanged(r Replica, change string, changed uint64, address string, silence time.Duration) {
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -115,7 +115,7 @@
 	"RoleChanged": event.RoleChanged, "NoMajority": event.NoMajority, "ReplicaSetChanged": event.ReplicaSetChanged, "DeclaredLossesExceedBearable": event.DeclaredLossesExceedBearable, "DeclaredLossesBearable": event.DeclaredLossesBearable, "CommittedBelowDeclared": event.CommittedBelowDeclared, "ClusterFormed": event.ClusterFormed,
 	"ReplicaFailed": event.ReplicaFailed, "SnapshotInstalled": event.SnapshotInstalled,
 	"SnapshotSaved": event.SnapshotSaved, "ReplicaWaitsForDisk": event.ReplicaWaitsForDisk, "LeadershipTransferFailed": event.LeadershipTransferFailed,
-	"LeaderTermStarted": event.LeaderTermStarted, "QuorumLost": event.QuorumLost, "QuotasResumed": event.QuotasResumed, "LeaderTermStartFailed": event.LeaderTermStartFailed, "CommandNotCommitted": event.CommandNotCommitted,
+	"LeaderTermStarted": event.LeaderTermStarted, "QuorumLost": event.QuorumLost, "ReplicaStoodStill": event.ReplicaStoodStill, "QuotasResumed": event.QuotasResumed, "LeaderTermStartFailed": event.LeaderTermStartFailed, "CommandNotCommitted": event.CommandNotCommitted,
 	"BackendChanged": event.BackendChanged, "BackendChangeRefused": event.BackendChangeRefused, "BackendLeaving": event.BackendLeaving, "BackendPaced": event.BackendPaced,
 	"CrashCounted":       event.CrashCounted,
 	"EngineSpeedChanged": event.EngineSpeedChanged, "LoadReportsMissing": event.LoadReportsMissing, "PreLoadReportMissing": event.PreLoadReportMissing, "LoadDigestRefused": event.LoadDigestRefused,
