control: a rollout of weights goes on after the leadership was unconfirmed for a moment

What callers saw: the soak beside load had calls on weights 15 s old, and nothing was committed for 7 s and more, without a change of leader.

Cause: a leader whose leadership is not confirmed drops its tasks, and begins them anew in the same term once it is confirmed again. The rollout then gives no orders for Options.PreviousOrderLease (3 s for the platform's program), since an earlier leader's orders may be in force. A leader that stands still for longer than an election timeout keeps its term but is unconfirmed when it goes on. So a machine on which the control processes stand still more often than every 3 s never loads new weights. In addition, an order whose leader was unconfirmed at the moment at which it was to be sent was dropped without a reply: its engine stayed out of service for 6 s, was not tried again for 6 s, and held the place of the next one.

The rollout now belongs to its term, as the quota grants do: if the term is still the same, a quorum has acknowledged this leader after the doubt, so no other one can have led meanwhile. Orders are still sent only while the leadership is confirmed. One that is not sent counts as refused and not run.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -45,6 +45,8 @@
 	options      Options
 	tracker      *DigestTracker
 	reachability *reachability
+	// status returns the status of node.
+	status func() consensus.Status
 
 	mu sync.Mutex
 	// term is the leadership term to which the fields below belong. It is 0 while this
@@ -52,12 +54,16 @@
 	term    uint64
 	leases  *membership.Leases
 	planner *fleet.Planner
-	rollout *fleet.Rollout
-	permits *permit.Allocator
-	quotas  *quotaGrants
-	pace    *pace.Controller
-	routers *streamrecord.Registry
-	speeds  *routing.SpeedTable
+	// rollout belongs to the term rolloutTerm. It outlives a time in which the leadership of the term is not
+	// confirmed: no other replica can have led meanwhile if the term is still the same, and to begin anew would stop
+	// all orders for Options.PreviousOrderLease each time.
+	rollout     *fleet.Rollout
+	rolloutTerm uint64
+	permits     *permit.Allocator
+	quotas      *quotaGrants
+	pace        *pace.Controller
+	routers     *streamrecord.Registry
+	speeds      *routing.SpeedTable
 	// loggedSpeeds holds the speeds that were logged last, by engine.
 	loggedSpeeds map[string]uint32
 	// lastClockCommand is when the replicated clock was last advanced in this term.
@@ -73,7 +79,7 @@
 }
 
 func newLeader(node *consensus.Node, machine *Machine, options Options) *leader {
-	l := &leader{node: node, machine: machine, options: options, tracker: NewDigestTracker()}
+	l := &leader{node: node, machine: machine, options: options, tracker: NewDigestTracker(), status: node.Status}
 	member := func(name string) *wire.Member { return machine.Log().Snapshot().Member(name) }
 	l.reachability = newReachability(options.CheckDialer, member, l.proposeSuspicion)
 	l.quotas = newQuotaGrants(options.Quotas, node.Status().Term)
@@ -93,6 +99,7 @@
 		}
 		if !recovery.Run("leader", func() { l.tick(ctx) }) {
 			l.stopLeading() // begins anew from the replicated state
+			l.dropRollout()
 		}
 	}
 }
@@ -100,7 +107,7 @@
 // tick performs the tasks that are due if this replica leads and its leadership is
 // confirmed by a quorum.
 func (l *leader) tick(ctx context.Context) {
-	status := l.node.Status()
+	status := l.status()
 	if status.Role != consensus.Leader || !status.Confirmed {
 		l.stopLeading()
 		return
@@ -129,7 +136,6 @@
 	l.term = 0
 	l.leases = nil
 	l.planner = nil
-	l.rollout = nil
 	l.permits = nil
 	l.pace = nil
 	pacedServers.Set(0)
@@ -137,6 +143,12 @@
 	l.speeds = nil
 }
 
+func (l *leader) dropRollout() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rollout = nil
+}
+
 // startTerm starts a leadership term and reports whether that succeeded. The term
 // becomes the fencing token, and every member gets a fresh lease.
 func (l *leader) startTerm(ctx context.Context, term uint64) bool {
@@ -154,7 +166,9 @@
 	now := time.Now()
 	l.leases = membership.NewLeases(l.options.Leases, now)
 	l.planner = fleet.NewPlanner(term, now, consensus.DefaultElectionTimeout)
-	l.rollout = fleet.NewRollout(term, now, l.options.PreviousOrderLease)
+	if l.rollout == nil || l.rolloutTerm != term {
+		l.rollout, l.rolloutTerm = fleet.NewRollout(term, now, l.options.PreviousOrderLease), term
+	}
 	l.permits = permit.NewAllocator()
 	recentTerms = l.quotas.startTerm(term, recentTerms)
 	l.pace = pace.NewController()
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"parsleypulley/internal/event"
+	"parsleypulley/internal/fault"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/recovery"
 	"parsleypulley/internal/wire"
@@ -61,7 +62,7 @@
 	targets := l.machine.Log().Snapshot().WeightsTargets()
 	l.mu.Lock()
 	var actions []fleet.RolloutAction
-	if l.rollout != nil && l.term == term {
+	if l.rollout != nil && l.rolloutTerm == term {
 		actions = l.rollout.Report(time.Now(), b, report, err, targets)
 	}
 	l.mu.Unlock()
@@ -71,12 +72,7 @@
 // order sends an order to an engine, passes the reply to the rollout and carries out the
 // actions that follow.
 func (l *leader) order(ctx context.Context, term uint64, order *fleet.LoadOrder) {
-	if status := l.node.Status(); status.Term != order.Fencing || !status.Confirmed {
-		return // this replica does not lead in the term of the order
-	}
-	callCtx, cancel := context.WithTimeout(ctx, engineTimeout)
-	defer cancel()
-	err := l.options.Engines.Order(callCtx, order)
+	err := l.sendOrder(ctx, order)
 	orderInfo := event.Order{Backend: order.Backend.GetName(), Model: order.Model, Weights: strconv.FormatUint(order.Version, 10), Fencing: order.Fencing, Orders: order.Orders}
 	if err != nil {
 		event.OrderRefused(orderInfo, err)
@@ -85,9 +81,19 @@
 	}
 	l.mu.Lock()
 	var actions []fleet.RolloutAction
-	if l.rollout != nil && l.term == term {
+	if l.rollout != nil && l.rolloutTerm == term {
 		actions = l.rollout.OrderReply(time.Now(), order.Backend, err)
 	}
 	l.mu.Unlock()
 	l.perform(ctx, term, actions)
 }
+
+// sendOrder sends an order to an engine if this replica is known to lead in the term of the order.
+func (l *leader) sendOrder(ctx context.Context, order *fleet.LoadOrder) error {
+	if status := l.status(); status.Term != order.Fencing || !status.Confirmed {
+		return fault.New(fault.Unavailable, fault.NotRun, "the leadership is not confirmed")
+	}
+	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
+	defer cancel()
+	return l.options.Engines.Order(ctx, order)
+}
