--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -62,7 +62,7 @@
 	targets := l.machine.Log().Snapshot().WeightsTargets()
 	l.mu.Lock()
 	var actions []fleet.RolloutAction
-	if l.rollout != nil && l.term == term {
+	if l.rollout != nil && l.rolloutTerm == term {
 		actions = l.rollout.Report(time.Now(), b, report, err, targets)
 	}
 	l.mu.Unlock()
@@ -73,28 +73,27 @@
 // actions that follow.
 func (l *leader) order(ctx context.Context, term uint64, order *fleet.LoadOrder) {
 	err := l.sendOrder(ctx, order)
+	orderInfo := event.Order{Backend: order.Backend.GetName(), Model: order.Model, Weights: strconv.FormatUint(order.Version, 10), Fencing: order.Fencing, Orders: order.Orders}
+	if err != nil {
+		event.OrderRefused(orderInfo, err)
+	} else {
+		event.WeightsLoading(orderInfo)
+	}
 	l.mu.Lock()
 	var actions []fleet.RolloutAction
-	if l.rollout != nil && l.term == term {
+	if l.rollout != nil && l.rolloutTerm == term {
 		actions = l.rollout.OrderReply(time.Now(), order, err)
 	}
 	l.mu.Unlock()
 	l.perform(ctx, term, actions)
 }
 
-// sendOrder sends an order to an engine if this replica leads in the term of the order.
+// sendOrder sends an order to an engine if this replica is known to lead in the term of the order.
 func (l *leader) sendOrder(ctx context.Context, order *fleet.LoadOrder) error {
-	if status := l.node.Status(); status.Term != order.Fencing || !status.Confirmed {
-		return fault.New(fault.NotLeader, fault.NotRun, "this replica does not lead in term %d", order.Fencing)
+	if status := l.status(); status.Term != order.Fencing || !status.Confirmed {
+		return fault.New(fault.Unavailable, fault.NotRun, "the leadership is not confirmed")
 	}
 	ctx, cancel := context.WithTimeout(ctx, engineTimeout)
 	defer cancel()
-	err := l.options.Engines.Order(ctx, order)
-	orderInfo := event.Order{Backend: order.Backend.GetName(), Model: order.Model, Weights: strconv.FormatUint(order.Version, 10), Fencing: order.Fencing, Orders: order.Orders}
-	if err != nil {
-		event.OrderRefused(orderInfo, err)
-	} else {
-		event.WeightsLoading(orderInfo)
-	}
-	return err
+	return l.options.Engines.Order(ctx, order)
 }
