consensus: a confirmation covers what was acknowledged before it

A control replica that lagged behind the leader vouched for its view as the newest, with an age of some milliseconds, although it lacked commands that had been acknowledged a second or more before: a heartbeat passed on the leader's contact with a quorum to each follower whose log matched so far, and a leader passed it on before it knew all entries of earlier terms. Processes that follow such a replica took an old view for confirmed.

The leader now sends its commit index with the contact, and only once the first entry of its term is committed; the follower counts the contact once its own commit index is as high. It keeps the oldest contact that waits for entries and the newest one, so that a leader that commits all the time does not put it off. A leader that steps down keeps its last contact.

The simulation checks it for each replica at each step (checkConfirmation).

--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -82,6 +82,7 @@
 	}
 	if r.role == Leader {
 		r.failReads()
+		r.addContact(contact{at: r.ConfirmedAt()})
 	}
 	r.role = Follower
 	r.leader = leader
--- a/internal/consensus/invariant_test.go
+++ b/internal/consensus/invariant_test.go
@@ -4,6 +4,8 @@
 	"encoding/binary"
 	"fmt"
 	"hash/fnv"
+	"slices"
+	"time"
 
 	"parsleypulley/internal/wire"
 )
@@ -47,6 +49,7 @@
 	if w, ok := h.writes[e.Index]; ok && w.term == e.Term {
 		delete(h.writes, e.Index)
 		sim.writes++
+		sim.acknowledged = append(sim.acknowledged, acknowledged{sim.now, e.Index})
 		sim.completeCall(w, h.appliedCommands, h.appliedCommands > w.minPosition, "write")
 	}
 }
@@ -89,11 +92,32 @@
 	sim.scheduleHash = sum.Sum64()
 }
 
+// acknowledged is a write that was acknowledged.
+type acknowledged struct {
+	at    time.Time
+	index uint64
+}
+
+// checkConfirmation guards against a replica that vouches for a view without what was acknowledged
+// before: it checks that a replica has committed all writes that were acknowledged before
+// the time at which its view was confirmed as the newest.
+func (sim *simulation) checkConfirmation(h *host, confirmedAt time.Time) {
+	for _, a := range slices.Backward(sim.acknowledged) {
+		if a.at.Before(confirmedAt) {
+			if commit := h.replica.log.commitIndex; commit < a.index {
+				sim.addViolation("replica %d is confirmed as of %v ago with commit index %d; %d was acknowledged %v ago", h.id, sim.now.Sub(confirmedAt), commit, a.index, sim.now.Sub(a.at))
+			}
+			return
+		}
+	}
+}
+
 // checkLeadership checks that a term has at most one leader, and that no replica is
 // confirmed in an older term when an election timeout has passed since the newest leader
 // was elected.
 func (sim *simulation) checkLeadership(h *host) {
 	s := h.replica.Status(sim.now)
+	sim.checkConfirmation(h, s.ConfirmedAt)
 	if s.Role == Leader {
 		if other, known := sim.leaders[s.Term]; known && other != h.id {
 			sim.addViolation("term %d has the leaders %d and %d", s.Term, other, h.id)
--- a/internal/consensus/leader.go
+++ b/internal/consensus/leader.go
@@ -165,14 +165,14 @@
 // sendWithConfirmation sends m with the fields from which the follower derives when
 // the leader was last in contact with a quorum; see updateConfirmedAt. The age of
 // the contact is rounded up to a millisecond, since 0 means no contact. It is left
-// out if the contact is older than an election timeout, or while the follower's log
-// isn't known to match.
+// out if the contact is older than an election timeout, while the follower's log
+// isn't known to match, and while the leader may not know all committed entries.
 func (r *Replica) sendWithConfirmation(now time.Time, p *progress, m *wire.ConsensusMessage) {
 	m.ReadContext = r.leading.round
 	m.EchoUs = p.followerClock
 	age := now.Sub(r.leading.quorumContact)
-	if p.mode == replicating && age < r.options.ElectionTimeout {
-		m.QuorumAgeMs = uint64(age.Milliseconds()) + 1
+	if p.mode == replicating && age < r.options.ElectionTimeout && r.barrierCommitted() {
+		m.QuorumAgeMs, m.QuorumCommit = uint64(age.Milliseconds())+1, r.log.commitIndex
 	}
 	r.send(m)
 }
--- a/internal/consensus/replica.go
+++ b/internal/consensus/replica.go
@@ -48,8 +48,10 @@
 	// leaderHeardAt is when the last message from the leader arrived.
 	leaderHeardAt time.Time
 	// confirmedAt is the latest time at which another replica, as leader, is known
-	// to have been in contact with a quorum.
+	// to have been in contact with a quorum, and before which nothing was acknowledged
+	// that is not committed here. contacts are later ones, oldest first: at most two.
 	confirmedAt time.Time
+	contacts    []contact
 	// votes holds the replies to this candidate's vote requests; true is granted.
 	votes map[uint64]bool
 	// lostElection is the outcome of the newest election or pre-vote of this replica
--- a/internal/consensus/replicate.go
+++ b/internal/consensus/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"parsleypulley/internal/storage"
@@ -169,9 +170,37 @@
 		return
 	}
 	at := r.startedAt.Add(time.Duration(sinceStart)*time.Microsecond - time.Duration(m.QuorumAgeMs)*time.Millisecond)
-	if at.After(r.confirmedAt) {
-		r.confirmedAt = at
+	r.addContact(contact{at: at, commit: m.QuorumCommit})
+}
+
+// contact is a contact of the leader with a quorum.
+type contact struct {
+	at time.Time
+	// commit is at least the index of the last entry that was acknowledged before at.
+	commit uint64
+}
+
+// addContact adds a contact of the leader with a quorum. If two wait for entries already, it
+// replaces the newer one, so that one of them is reached however often the leader commits.
+func (r *Replica) addContact(c contact) {
+	r.confirmedAt = r.latestContact()
+	r.contacts = slices.DeleteFunc(r.contacts, func(known contact) bool { return !known.at.After(r.confirmedAt) })
+	if !c.at.After(r.confirmedAt) {
+		return
+	}
+	r.contacts = append(r.contacts[:min(1, len(r.contacts))], c)
+}
+
+// latestContact returns the latest time at which the leader was in contact with a quorum and
+// before which nothing was acknowledged that is not known to be committed here.
+func (r *Replica) latestContact() time.Time {
+	latest := r.confirmedAt
+	for _, c := range r.contacts {
+		if c.commit <= r.log.commitIndex && c.at.After(latest) {
+			latest = c.at
+		}
 	}
+	return latest
 }
 
 // localClock returns the reading of this replica's clock that the leader echoes, in
--- a/internal/consensus/simulation_test.go
+++ b/internal/consensus/simulation_test.go
@@ -54,8 +54,10 @@
 	// finished call has observed.
 	observedPosition int
 	writes           int
-	reads            int
-	violations       []string
+	// acknowledged are the acknowledged writes, oldest first.
+	acknowledged []acknowledged
+	reads        int
+	violations   []string
 	// sent is the number of messages sent. bytes is their encoded size, counted
 	// only while countBytes is set.
 	sent, bytes int
--- a/internal/consensus/status.go
+++ b/internal/consensus/status.go
@@ -51,7 +51,8 @@
 
 // ConfirmedAt returns the latest time at which the leader, which is this replica
 // or one that it received messages from, is known to have been in contact with a
-// quorum. It is zero while the cluster is forming.
+// quorum. All commands that were acknowledged before it are committed here. It is zero
+// while the cluster is forming.
 func (r *Replica) ConfirmedAt() time.Time {
 	if r.Forming() {
 		return time.Time{}
@@ -59,7 +60,7 @@
 	if r.role == Leader && r.barrierCommitted() {
 		return r.leading.quorumContact
 	}
-	return r.confirmedAt
+	return r.latestContact()
 }
 
 // Status returns the replica's status at now. The caller must not modify
