--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -15,6 +15,7 @@
 	"parsleypulley/internal/quota"
 	"parsleypulley/internal/recovery"
 	"parsleypulley/internal/routing"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/streamrecord"
 	"parsleypulley/internal/wire"
 )
@@ -154,7 +155,7 @@
 	now := time.Now()
 	l.leases = membership.NewLeases(l.options.Leases, now)
 	l.planner = fleet.NewPlanner(term, now, consensus.DefaultElectionTimeout)
-	l.rollout = fleet.NewRollout(term, now, l.options.PreviousOrderLease)
+	l.rollout = fleet.NewRollout(term, steady.Now(), l.options.PreviousOrderLease, l.machine.Log().Targets())
 	l.permits = permit.NewAllocator()
 	recentTerms = l.quotas.startTerm(term, recentTerms)
 	l.pace = pace.NewController()
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -13,6 +13,7 @@
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/recovery"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/wire"
 )
 
@@ -220,7 +221,7 @@
 			if change := drainOf(r, l.machine.Log().Snapshot().Member(name)); change != nil {
 				actions = append(actions, fleet.RolloutAction{Propose: change})
 			}
-			actions = append(actions, l.rollout.ObserveReport(time.Now(), r.backend, r.report, targets)...)
+			actions = append(actions, l.rollout.ObserveReport(steady.Now(), r.backend, r.report, targets)...)
 			continue
 		}
 		failures[name]++
--- a/internal/control/rollout.go
+++ b/internal/control/rollout.go
@@ -9,6 +9,7 @@
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/recovery"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/wire"
 )
 
@@ -24,7 +25,7 @@
 	l.mu.Lock()
 	var actions []fleet.RolloutAction
 	if l.rollout != nil {
-		actions = l.rollout.Plan(time.Now(), snapshot.Members(), snapshot.WeightsTargets())
+		actions = l.rollout.Plan(steady.Now(), snapshot.Members(), snapshot.WeightsTargets())
 	}
 	l.mu.Unlock()
 	l.perform(ctx, term, actions)
@@ -62,7 +63,7 @@
 	l.mu.Lock()
 	var actions []fleet.RolloutAction
 	if l.rollout != nil && l.term == term {
-		actions = l.rollout.Report(time.Now(), b, report, err, targets)
+		actions = l.rollout.Report(steady.Now(), b, report, err, targets)
 	}
 	l.mu.Unlock()
 	l.perform(ctx, term, actions)
@@ -86,7 +87,7 @@
 	l.mu.Lock()
 	var actions []fleet.RolloutAction
 	if l.rollout != nil && l.term == term {
-		actions = l.rollout.OrderReply(time.Now(), order.Backend, err)
+		actions = l.rollout.OrderReply(steady.Now(), order.Backend, err)
 	}
 	l.mu.Unlock()
 	l.perform(ctx, term, actions)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -16,6 +16,7 @@
 	"parsleypulley/internal/membership"
 	"parsleypulley/internal/quota"
 	"parsleypulley/internal/reach"
+	"parsleypulley/internal/recovery"
 	"parsleypulley/internal/steady"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
@@ -32,6 +33,8 @@
 	client *controlclient.Client
 	// forwarder forwards announcements through client.
 	forwarder *announceBatcher
+	// peers is Options.Peers.
+	peers *Peers
 }
 
 // Options holds the settings that differ between deployments.
@@ -61,6 +64,9 @@
 	// LeaderClient forwards calls of operators and backend servers that only the leader
 	// can handle. If it is nil, a replica that does not lead refuses them.
 	LeaderClient *controlclient.Client
+	// Peers is how a replica that starts learns when weights were named. If it is nil, those
+	// named before the start count as named long ago.
+	Peers *Peers
 }
 
 // DefaultOptions returns the options for deployments in which every backend
@@ -73,6 +79,8 @@
 // Run is running.
 func NewService(node *consensus.Node, machine *Machine, options Options) *Service {
 	s := &Service{node: node, machine: machine, leader: newLeader(node, machine, options)}
+	machine.Log().SetNewestAt(func() time.Time { return node.Status().ConfirmedAt })
+	s.peers = options.Peers
 	s.views = follow.NewServer(machine.Log(), s.freshness, view.MaxWatchesControl)
 	s.views.WithholdUnconfirmed = true
 	s.views.ControlAddresses = s.replicas
@@ -97,6 +105,9 @@
 // Run performs the leader's tasks whenever the replica leads, until ctx ends.
 func (s *Service) Run(ctx context.Context) {
 	go s.leader.pollLoads(ctx)
+	if s.peers != nil {
+		go recovery.Run("weights ages", func() { s.fetchAges(ctx) })
+	}
 	s.leader.run(ctx)
 }
 
--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -144,16 +144,17 @@
 	// retryAt holds the time before which an engine whose load failed is not tried
 	// again, by name.
 	retryAt map[string]time.Time
-	// history holds the target versions that this leader has seen.
-	history TargetHistory
+	// history tells for how long engines have been outdated.
+	history *TargetHistory
 }
 
 // NewRollout returns the rollout for the leader of term. It issues no order until
 // previousLease has passed, because the previous leader may still issue orders during
-// its lease.
-func NewRollout(term uint64, now time.Time, previousLease time.Duration) *Rollout {
+// its lease. All times passed to the rollout must be of the clock of history, which tells when the
+// targets were named.
+func NewRollout(term uint64, now time.Time, previousLease time.Duration, history *TargetHistory) *Rollout {
 	return &Rollout{term: term, start: now.Add(previousLease), loads: map[string]*load{}, retryAt: map[string]time.Time{},
-		history: TargetHistory{}}
+		history: history}
 }
 
 // Plan returns the actions that are due. It must be called every 50 to 100 ms with
@@ -169,7 +170,6 @@
 			actions = r.advance(now, m, l, targets, actions)
 		}
 	}
-	r.history.Record(now, targets)
 	waiting := r.candidates(now, members, targets)
 	limit := maxOutOfService(countEngines(members), r.longestOutdated(now, waiting, targets))
 	for _, m := range waiting {
@@ -181,17 +181,17 @@
 	return actions
 }
 
-// longestOutdated returns the longest time for which any of the engines has been
-// outdated.
+// longestOutdated returns the longest time for which any of the engines can have been
+// outdated. A time that is not known is very long, so that the share is the largest.
 func (r *Rollout) longestOutdated(now time.Time, waiting []*wire.Member, targets []*wire.WeightsTarget) time.Duration {
 	longest := time.Duration(0)
 	for _, m := range waiting {
 		model, loaded := outdatedModel(m.GetBackend(), targets)
-		for _, v := range r.history[model] {
-			if v.Version > loaded {
-				longest = max(longest, now.Sub(v.FirstSeen))
-				break
-			}
+		if model == "" {
+			continue // a load that an earlier leader began is done
+		}
+		if since, outdated := r.history.OutdatedSince(model, loaded); outdated {
+			longest = max(longest, now.Sub(since))
 		}
 	}
 	return longest
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -46,6 +46,7 @@
 	engines      []*fakeEngine
 	memberByName map[string]*wire.Member
 	targets      []*wire.WeightsTarget
+	history      *TargetHistory
 	// maxOutOfService is the largest number of engines out of service at the same time.
 	maxOutOfService int
 }
@@ -53,8 +54,8 @@
 const fakeLoadTime = 570 * time.Millisecond
 
 func newRolloutHarness(t *testing.T, engines int) *rolloutHarness {
-	h := &rolloutHarness{t: t, now: time.Unix(1000, 0), memberByName: map[string]*wire.Member{}}
-	h.rollout = NewRollout(7, h.now, 0)
+	h := &rolloutHarness{t: t, now: time.Unix(1000, 0), memberByName: map[string]*wire.Member{}, history: NewTargetHistory()}
+	h.rollout = NewRollout(7, h.now, 0, h.history)
 	for i := range engines {
 		e := &fakeEngine{name: fmt.Sprintf("e%02d", i), version: 1, state: wire.BackendState_BACKEND_STATE_READY}
 		h.engines = append(h.engines, e)
@@ -83,6 +84,7 @@
 
 func (h *rolloutHarness) run(d time.Duration) {
 	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(50 * time.Millisecond) {
+		h.history.Record(h.now, h.targets)
 		h.perform(h.rollout.Plan(h.now, h.members(), h.targets))
 		out := 0
 		for _, m := range h.memberByName {
@@ -217,7 +219,7 @@
 func TestNewLeaderResumesLoadingEngines(t *testing.T) {
 	is := is.New(t)
 	h := newRolloutHarness(t, 6)
-	h.rollout = NewRollout(8, h.now, 3*time.Second)
+	h.rollout = NewRollout(8, h.now, 3*time.Second, h.history)
 	h.memberByName["e02"].State = wire.BackendState_BACKEND_STATE_LOADING
 	h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
 	h.run(2900 * time.Millisecond)
@@ -228,6 +230,45 @@
 	is.Equal(h.countOutdated(2), 0)
 }
 
+// Guards against a rollout that a leader that is elected or starts after the name begins anew with its smallest
+// share: it goes on with the share of the name's age, and takes the largest one if it can't learn that age.
+func TestNewLeaderKeepsAgeOfRollout(t *testing.T) {
+	const engines = 40
+	largest := maxOutOfService(engines, time.Hour)
+	for _, tt := range []struct {
+		name string
+		// history returns that of the process that leads now.
+		history func(before *TargetHistory, now time.Time) *TargetHistory
+		share   func(age time.Duration) int
+	}{
+		{"elected", func(before *TargetHistory, _ time.Time) *TargetHistory { return before },
+			func(age time.Duration) int { return maxOutOfService(engines, age) }},
+		{"restarted and told", func(before *TargetHistory, now time.Time) *TargetHistory {
+			h := NewTargetHistory()
+			h.Merge(now, before.Ages(now))
+			return h
+		}, func(age time.Duration) int { return maxOutOfService(engines, age) }},
+		{"restarted and not told", func(*TargetHistory, time.Time) *TargetHistory { return NewTargetHistory() },
+			func(time.Duration) int { return largest }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			before, named := NewTargetHistory(), time.Unix(1000, 0)
+			before.Record(time.Time{}, target(1))
+			before.Record(named, target(2))
+			h := newRolloutHarness(t, engines)
+			h.now = named.Add(5 * time.Second)
+			h.targets = target(2)
+			h.history = tt.history(before, h.now)
+			h.history.Record(time.Time{}, h.targets) // the log is applied before any view is confirmed
+			h.rollout = NewRollout(8, h.now, 0, h.history)
+			h.run(50 * time.Millisecond) // one plan
+			is.Equal(h.maxOutOfService, tt.share(5*time.Second))
+			is.True(h.maxOutOfService > maxOutOfService(engines, 0))
+		})
+	}
+}
+
 // Replies that belong to an earlier incarnation of an engine must be ignored.
 func TestRepliesFromEarlierIncarnationAreIgnored(t *testing.T) {
 	is := is.New(t)
--- a/internal/follow/server.go
+++ b/internal/follow/server.go
@@ -69,7 +69,8 @@
 	case *wire.Request_Watch:
 		return true, s.watch(ctx, call, body.Watch.GetFromVersion())
 	case *wire.Request_FetchView:
-		return true, s.send(call, view.BuildUpdate(s.log, body.FetchView.GetFromVersion(), s.stampedFreshness(), s.WithholdUnconfirmed))
+		fresh := s.stampedFreshness()
+		return true, s.send(call, view.BuildUpdate(steady.Now(), s.log, body.FetchView.GetFromVersion(), fresh, s.WithholdUnconfirmed))
 	}
 	return false, nil
 }
@@ -105,7 +106,8 @@
 				return nil // the follower has disconnected
 			}
 		}
-		if update := session.Next(steady.Now(), s.stampedFreshness()); update != nil {
+		fresh := s.stampedFreshness()
+		if update := session.Next(steady.Now(), fresh); update != nil {
 			if err := s.send(call, update); err != nil {
 				return nil // the follower has disconnected
 			}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -12,6 +12,7 @@
 	"parsleypulley/internal/crashreport"
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/quarantine"
 	"parsleypulley/internal/quota"
 	"parsleypulley/internal/quota/guard"
@@ -62,10 +63,14 @@
 	RevokeBound time.Duration
 	// ReportRates is set if the leader is to be told the rates of calls by service.
 	ReportRates bool
-	// WeightsBound is how long engines with older weights are used after this
-	// router has first seen a newer weights version. 0 means that they are always
-	// used.
+	// WeightsBound is how long engines with older weights are used after the last time before
+	// which no newer weights version was acknowledged, as far as Targets tells. Engines of which
+	// it tells no time are not used: since that may be so a minute after a version was named,
+	// longer bounds are not kept exactly. 0 means that engines with older weights are always used.
 	WeightsBound time.Duration
+	// Targets tells when weights versions were named. It must be that of the log of Views. If it
+	// is nil, engines with older weights are always used.
+	Targets *fleet.TargetHistory
 }
 
 const (
@@ -133,6 +138,9 @@
 	}
 	quotas := guard.New()
 	selector := newBackendSelector(opts.Domain, opts.Seed, opts.Budget, opts.WeightsBound)
+	if opts.Targets != nil {
+		selector.targetHistory = opts.Targets
+	}
 	if opts.ReportRates {
 		selector.router.ReportRates()
 	}
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -29,9 +29,8 @@
 	limits      RetryBudgetLimits
 	// budgets holds the retry budgets by service.
 	budgets map[string]*retryBudget
-	// targetHistory holds the target versions of the weights and when this router
-	// first saw each.
-	targetHistory fleet.TargetHistory
+	// targetHistory tells when target versions of the weights were named.
+	targetHistory *fleet.TargetHistory
 	// weightsBound is the value of Options.WeightsBound.
 	weightsBound time.Duration
 }
@@ -45,8 +44,7 @@
 	// than the default: engines report what they hold late, and a context that is read
 	// or imported by a second engine displaces another one there.
 	affinityWeight = 10
-	// preferAfter is the time since this router first saw a weights version after
-	// which engines with older versions are ranked lower. It is shorter than the
+	// preferAfter is the time since a weights version was named after which engines with older versions are ranked lower. It is shorter than the
 	// time after which they are no longer used, since calls wait in the engines'
 	// queues.
 	preferAfter = 1200 * time.Millisecond
@@ -56,12 +54,12 @@
 )
 
 func newBackendSelector(domain string, seed uint64, limits RetryBudgetLimits, weightsBound time.Duration) *backendSelector {
-	sel := &backendSelector{clock: steady.Now, router: routing.New(domain, seed), limits: limits, budgets: map[string]*retryBudget{}, targetHistory: fleet.TargetHistory{}, weightsBound: weightsBound}
+	sel := &backendSelector{clock: steady.Now, router: routing.New(domain, seed), limits: limits, budgets: map[string]*retryBudget{}, targetHistory: fleet.NewTargetHistory(), weightsBound: weightsBound}
 	sel.router.SetSettings(routing.Settings{ImportRate: importRate, AffinityWeight: affinityWeight})
 	return sel
 }
 
-// setView sets the backend servers and the weights versions of a view, unless a newer one was set.
+// setView sets the backend servers of a view, unless a newer one was set.
 func (sel *backendSelector) setView(s *view.Snapshot) {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
@@ -69,41 +67,36 @@
 		return
 	}
 	sel.viewVersion = s.Version
-	now := sel.clock()
-	sel.router.SetBackends(now, s.Members())
-	sel.targetHistory.Record(now, s.WeightsTargets())
+	sel.router.SetBackends(sel.clock(), s.Members())
 }
 
 // weightsVersions returns two versions of a model's weights: engines with a
 // version below required must not be used, and those below preferred are ranked
 // lower. 0 means no such version. sel.mu must be held.
 func (sel *backendSelector) weightsVersions(now time.Time, model string) (required, preferred uint64) {
-	versions := sel.targetHistory[model]
+	versions := sel.targetHistory.Versions(model)
 	for _, known := range versions {
-		if sel.weightsBound > 0 && now.Sub(known.FirstSeen) >= sel.weightsBound {
+		if sel.weightsBound > 0 && now.Sub(known.Since) >= sel.weightsBound {
 			required = known.Version
 		}
 	}
-	if n := len(versions); n > 0 && now.Sub(versions[n-1].FirstSeen) >= preferAfter {
+	if n := len(versions); n > 0 && now.Sub(versions[n-1].Since) >= preferAfter {
 		preferred = versions[n-1].Version
 	}
 	return required, preferred
 }
 
-// outdatedFor returns how long a newer version of the weights has been known than that of the chosen
-// engine; 0 if none is.
+// outdatedFor returns for how long the weights of the chosen engine can have been outdated; 0 if they
+// are not. It is at most fleet.MaxTargetAge, which also stands for a time that is not known.
 func (sel *backendSelector) outdatedFor(d *routing.Decision) time.Duration {
 	if d.WeightsVersion == 0 {
 		return 0
 	}
-	sel.mu.Lock()
-	defer sel.mu.Unlock()
-	for _, known := range sel.targetHistory[d.Model] {
-		if known.Version > d.WeightsVersion {
-			return sel.clock().Sub(known.FirstSeen)
-		}
+	since, outdated := sel.targetHistory.OutdatedSince(d.Model, d.WeightsVersion)
+	if !outdated {
+		return 0
 	}
-	return 0
+	return min(sel.clock().Sub(since), fleet.MaxTargetAge)
 }
 
 // applyLoads applies the load reports of a digest.
--- a/internal/node/replica_host.go
+++ b/internal/node/replica_host.go
@@ -12,6 +12,7 @@
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/lag"
 	"parsleypulley/internal/link"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -96,6 +97,11 @@
 		_, err := pool.Call(ctx, address, req)
 		return err
 	}
+	options.Peers = &control.Peers{Call: pool.Call, ControlAddresses: h.controlAddresses}
+	if h.current != nil { // this process has run a replica before
+		now := steady.Now() // read before Ages, so that a pause makes weights older, not newer
+		replica.Machine.Log().Targets().Merge(now, h.current.Machine.Log().Targets().Ages(steady.Now()))
+	}
 	configured := h.configured
 	if configured == nil {
 		configured = settings.Control
@@ -136,6 +142,16 @@
 	return h.current
 }
 
+// controlAddresses returns the configured control addresses.
+func (h *replicaHost) controlAddresses() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.configured == nil {
+		return h.options.Settings.Control
+	}
+	return h.configured
+}
+
 // configure replaces the configured control addresses.
 func (h *replicaHost) configure(addresses []string) {
 	h.mu.Lock()
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -46,8 +46,8 @@
 	// ReportRates makes the router report its rates of calls to the leader, which limits engines
 	// that start by them.
 	ReportRates bool
-	// WeightsBound is the time after which engines with outdated weights are no longer
-	// used. 0 means that they are always used.
+	// WeightsBound is the time since newer weights were named after which engines with outdated
+	// ones are no longer used; see forward.Options. 0 means that they are always used.
 	WeightsBound time.Duration
 }
 
@@ -86,7 +86,7 @@
 	})
 	forwarder = forward.New(forward.Options{
 		Domain: o.Settings.Domain, Seed: RandomSeed(o.Settings.Name), Views: views.Store(), Freshness: driver.Freshness, SourceAddress: driver.SourceAddress,
-		Dialect: o.Dialect, Control: client, Permits: client, Unreachable: client, Streams: streams, Budget: o.Budget, ReportRates: o.ReportRates, RevokeBound: o.RevokeBound, WeightsBound: o.WeightsBound,
+		Dialect: o.Dialect, Control: client, Permits: client, Unreachable: client, Streams: streams, Budget: o.Budget, ReportRates: o.ReportRates, RevokeBound: o.RevokeBound, WeightsBound: o.WeightsBound, Targets: views.Targets(),
 	})
 	daemon.PublishView(views, driver)
 	go driver.Run(p.Context)
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -168,6 +168,7 @@
 		avoidRole: roleCount,
 	}
 	f.updateTimeout = minUpdateTimeout + time.Duration(f.random.Int64N(int64(updateTimeoutJitter)))
+	f.log.SetNewestAt(func() time.Time { return f.confirmedAt })
 	f.nextUpgrade = now.Add(jitter(f.random, upgradeInterval))
 	f.watchLifetime = jitter(f.random, watchLifetime)
 	return f
@@ -218,7 +219,10 @@
 	}
 	from.lastUpdate = now
 	from.confirmed = update.GetConfirmed()
-	err := f.apply(update)
+	if update.GetClockUs() > 0 { // else the time at which the ages held is not known
+		f.log.Targets().Merge(from.madeAt(now, update), update.GetWeightsAges())
+	}
+	err := f.apply(update) // f.confirmedAt is still that of the view before
 	switch {
 	case errors.Is(err, ErrGap):
 		f.fetchState.setWanted(now.Add(-fetchDelay), from.address, update.GetVersion(), true)
--- a/internal/view/follower_test.go
+++ b/internal/view/follower_test.go
@@ -168,7 +168,7 @@
 	is := is.New(t)
 	l := logAt(t, 9, DefaultLogLimits())
 	for _, from := range []uint64{0, 4, 9} {
-		update := BuildUpdate(l, from, Freshness{}, true)
+		update := BuildUpdate(time.Time{}, l, from, Freshness{}, true)
 		is.True(update.GetSnapshot() == nil && len(update.GetEvents()) == 0 && !update.GetConfirmed())
 		w := NewWatchSession(l, from, true)
 		first := w.Next(time.Unix(1, 0), Freshness{})
--- a/internal/view/log.go
+++ b/internal/view/log.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
+	"parsleypulley/internal/fleet"
 	"parsleypulley/internal/wire"
 )
 
@@ -28,8 +31,12 @@
 type Log struct {
 	limits LogLimits
 	store  *Store
+	// targets tells when the weights targets of the view were named.
+	targets *fleet.TargetHistory
 
 	mu sync.Mutex
+	// newestAt is set by SetNewestAt.
+	newestAt func() time.Time
 	// events are the newest events. The last one led to the newest snapshot.
 	events []*wire.ViewEvent
 	// sizes are the encoded sizes of the events.
@@ -40,7 +47,28 @@
 
 // NewLog returns a log that holds the empty view and no events.
 func NewLog(limits LogLimits) *Log {
-	return &Log{limits: limits, store: NewStore()}
+	return &Log{limits: limits, store: NewStore(), targets: fleet.NewTargetHistory(), newestAt: func() time.Time { return time.Time{} }}
+}
+
+// SetNewestAt sets the function that returns when the view, or an earlier one, was last confirmed
+// to be the newest, and a zero time if it never was. It is called before a view with other weights
+// targets replaces the present one, and must not call the log. Until it is set, no view counts as
+// confirmed.
+func (l *Log) SetNewestAt(newestAt func() time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.newestAt = newestAt
+}
+
+// Targets tells when the weights targets of the view were named. It has those of a view before the
+// view can be read.
+func (l *Log) Targets() *fleet.TargetHistory { return l.targets }
+
+// recordTargets records the weights targets of a view that is about to replace the present one.
+func (l *Log) recordTargets(next *Snapshot) {
+	if !slices.Equal(next.WeightsTargets(), l.store.Load().WeightsTargets()) {
+		l.targets.Record(l.newestAt(), next.WeightsTargets())
+	}
 }
 
 // Store returns the store that holds the newest snapshot.
@@ -68,6 +96,7 @@
 	for _, event := range events {
 		l.appendEvent(event)
 	}
+	l.recordTargets(next)
 	l.store.replace(next)
 	return nil
 }
@@ -104,6 +133,7 @@
 	if err != nil {
 		return err
 	}
+	l.recordTargets(next)
 	if l.store.replace(next) {
 		l.events, l.sizes, l.bytes = nil, nil, 0
 	}
--- a/internal/view/network_test.go
+++ b/internal/view/network_test.go
@@ -21,6 +21,8 @@
 	// the yamux header and the TCP/IP headers of the packet and of its
 	// acknowledgement.
 	messageOverhead = 12 + 52 + 52
+	// quorumContactAge is the age of the last confirmation of a control replica when it commits.
+	quorumContactAge = 150 * time.Millisecond
 )
 
 // node is a process in the simulated network.
@@ -45,6 +47,9 @@
 	// messages and bytes are the traffic sent and received.
 	messages int
 	bytes    int
+	// agesMessages and agesBytes are the updates with weights_ages among them, and the bytes of
+	// that field.
+	agesMessages, agesBytes int
 	// callsReceived is the number of calls that other nodes opened at this node.
 	callsReceived int
 	// maxWatches is the maximum number of watches served at the same time.
@@ -85,6 +90,8 @@
 	held   map[string][]delivery
 	// commits holds the versions committed by commit and when, oldest first.
 	commits []committed
+	// named holds the weights versions committed by nameWeights and when, oldest first.
+	named []committed
 }
 
 // committed is a version of the view and the time at which it was committed.
@@ -134,6 +141,7 @@
 		if err := p.log.Reset(controlView); err != nil {
 			n.t.Fatal(err)
 		}
+		p.log.SetNewestAt(func() time.Time { return n.now.Add(-quorumContactAge) })
 		return
 	}
 	seed := uint64(len(n.byAddress))*p.starts + uint64(slices.Index(n.nodes, p))*7919
@@ -182,6 +190,7 @@
 			case to.running && !n.cut(to, n.byAddress[m.from]):
 				m.handle(to)
 				n.checkConfirmation(to)
+				n.checkAges(to)
 			}
 		}
 		tick := n.now.UnixNano()%int64(tickInterval) == 0
@@ -224,6 +233,43 @@
 	}
 }
 
+// checkAges checks that a node takes no weights for newer than they are.
+func (n *network) checkAges(p *node) {
+	n.t.Helper()
+	for i, c := range n.named {
+		since, outdated := p.log.Targets().OutdatedSince("m", c.version-1)
+		if outdated && since.After(c.at) {
+			n.t.Fatalf("%s takes weights older than %d for outdated since %v, %v too late", p.address, c.version, since, since.Sub(c.at))
+		}
+		if !outdated && p.log.Version() > 0 && p.log.Snapshot().WeightsTargets()[0].GetVersion() >= c.version {
+			n.t.Fatalf("%s does not take weights older than the %d. of %d for outdated", p.address, i, len(n.named))
+		}
+	}
+}
+
+// nameWeights commits weights of the model m at all control replicas in contact with a quorum and
+// returns the version of the view.
+func (n *network) nameWeights() uint64 {
+	n.named = append(n.named, committed{uint64(len(n.named)) + 2, n.now})
+	return n.nameWeightsOf("m", n.named[len(n.named)-1].version)
+}
+
+// nameWeightsOf commits weights of any model.
+func (n *network) nameWeightsOf(model string, weights uint64) uint64 {
+	var version uint64
+	for _, p := range n.nodes {
+		if p.role != RoleControl || !p.running || !p.hasQuorum {
+			continue
+		}
+		version = p.log.Version() + 1
+		if err := p.log.Append(&wire.ViewEvent{Version: version, Body: &wire.ViewEvent_Weights{Weights: &wire.WeightsTarget{Model: model, Version: weights}}}); err != nil {
+			n.t.Fatal(err)
+		}
+	}
+	n.commits = append(n.commits, committed{version, n.now})
+	return version
+}
+
 func (n *network) runNode(p *node, tick bool) {
 	fresh := n.freshness(p)
 	for _, w := range p.served {
@@ -278,7 +324,7 @@
 		to.served = slices.DeleteFunc(to.served, func(w watch) bool { return w.client == p && w.call == a.CallID })
 	case StartFetch:
 		to.callsReceived++
-		n.send(to, p, a.CallID, BuildUpdate(to.log, a.FromVersion, n.freshness(to), to.role == RoleControl))
+		n.send(to, p, a.CallID, BuildUpdate(n.now, to.log, a.FromVersion, n.freshness(to), to.role == RoleControl))
 	case StartWatch:
 		to.callsReceived++
 		limit := MaxWatchesOther
@@ -301,6 +347,12 @@
 	if update.GetSnapshot() != nil {
 		from.snapshots++
 	}
+	if ages := update.GetWeightsAges(); len(ages) > 0 {
+		for _, p := range []*node{from, to} {
+			p.agesMessages++
+			p.agesBytes += proto.Size(&wire.ViewUpdate{WeightsAges: ages})
+		}
+	}
 	if n.dropEvents[to.address] {
 		update = &wire.ViewUpdate{FromVersion: update.GetFromVersion(), Version: update.GetVersion(), Snapshot: update.GetSnapshot(), Confirmed: update.GetConfirmed(), ClockUs: update.GetClockUs()}
 	}
@@ -374,5 +426,6 @@
 func (n *network) resetCounts() {
 	for _, p := range n.nodes {
 		p.messages, p.bytes, p.callsReceived, p.maxWatches, p.snapshots = 0, 0, 0, len(p.served), 0
+		p.agesMessages, p.agesBytes = 0, 0
 	}
 }
--- a/internal/view/watch.go
+++ b/internal/view/watch.go
@@ -39,6 +39,8 @@
 	started bool
 	// lastSent is the time of the last update.
 	lastSent time.Time
+	// sentTargets is the number of changes of the log's target history that have been sent.
+	sentTargets uint64
 }
 
 // NewWatchSession returns the server side of a watch that starts at version from.
@@ -48,14 +50,21 @@
 }
 
 // Next returns the update to send now, or nil. It must be called when the log's
-// store has changed, and at least once per HeartbeatInterval.
+// store has changed, and at least once per HeartbeatInterval. now must be read after fresh, so
+// that a pause in between makes weights look older, not newer.
 func (w *WatchSession) Next(now time.Time, fresh Freshness) *wire.ViewUpdate {
 	due := !w.started || now.Sub(w.lastSent) >= HeartbeatInterval
 	newEvents := w.log.Version() > w.sentVersion && (fresh.Confirmed || !w.withholdUnconfirmed)
-	if !due && !newEvents && fresh.Confirmed == w.confirmed {
+	targets := w.log.Targets().Changes()
+	newTargets := !w.started || targets != w.sentTargets
+	if !due && !newEvents && !newTargets && fresh.Confirmed == w.confirmed {
 		return nil
 	}
-	update := BuildUpdate(w.log, w.sentVersion, fresh, w.withholdUnconfirmed)
+	update := buildUpdate(w.log, w.sentVersion, fresh, w.withholdUnconfirmed)
+	if newTargets {
+		update.WeightsAges = w.log.Targets().Ages(now)
+		w.sentTargets = targets
+	}
 	w.sentVersion = max(w.sentVersion, resultingVersion(update))
 	w.started = true
 	w.confirmed = fresh.Confirmed
@@ -65,8 +74,14 @@
 
 // BuildUpdate returns an update from a version to the newest one of log. If
 // withholdUnconfirmed is set, as at control replicas, the update of an
-// unconfirmed view contains neither events nor a snapshot.
-func BuildUpdate(log *Log, from uint64, fresh Freshness, withholdUnconfirmed bool) *wire.ViewUpdate {
+// unconfirmed view contains neither events nor a snapshot. now must be read after fresh.
+func BuildUpdate(now time.Time, log *Log, from uint64, fresh Freshness, withholdUnconfirmed bool) *wire.ViewUpdate {
+	update := buildUpdate(log, from, fresh, withholdUnconfirmed)
+	update.WeightsAges = log.Targets().Ages(now)
+	return update
+}
+
+func buildUpdate(log *Log, from uint64, fresh Freshness, withholdUnconfirmed bool) *wire.ViewUpdate {
 	var update *wire.ViewUpdate
 	if withholdUnconfirmed && !fresh.Confirmed {
 		update = &wire.ViewUpdate{FromVersion: from, Version: log.Version()}
