--- a/internal/event/call.go
+++ b/internal/event/call.go
@@ -85,8 +85,8 @@
 	Model   string
 	Weights uint64
 	// WeightsRequired is the version below which the router used no engine, and WeightsOutdatedFor
-	// the time for which it knew a newer version than Weights when it chose the engine; 0 if there
-	// was none.
+	// the time for which Weights can have been outdated when it chose the engine; 0 if they were
+	// not.
 	WeightsRequired    uint64
 	WeightsOutdatedFor time.Duration
 	// CacheImportAddress is the address from which the engine may fetch cached state;
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -310,7 +310,7 @@
 	outcomes []string
 	// decision is the latest routing decision.
 	decision *routing.Decision
-	// outdatedFor is the time for which newer weights than those of the engine were known at the
+	// outdatedFor is the time for which the weights of the engine can have been outdated at the
 	// latest attempt.
 	outdatedFor time.Duration
 	// cacheImportAddress and cacheSaveAddress are the cache transfers of the
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -20,7 +20,7 @@
 	// routeCalls counts calls by route and result.
 	routeCalls = publishCounterTable("forward_calls_by_route", maxRouteRows)
 	// outdatedBegun counts the streams that began on outdated weights, by the whole seconds for which
-	// newer ones had been known, up to maxOutdatedSeconds.
+	// the weights can have been outdated, up to maxOutdatedSeconds.
 	outdatedBegun = expvar.NewMap("forward_begun_on_outdated_weights")
 	// backendAttempts counts attempts by backend server and outcome.
 	backendAttempts = publishCounterTable("forward_attempts_by_backend", maxBackendRows)
