--- a/internal/follow/server.go
+++ b/internal/follow/server.go
@@ -69,7 +69,7 @@
 	case *wire.Request_Watch:
 		return true, s.watch(ctx, call, body.Watch.GetFromVersion())
 	case *wire.Request_FetchView:
-		fresh := s.stampedFreshness()
+		fresh := s.stampedFreshness() // before the time of the ages; see view.BuildUpdate
 		return true, s.send(call, view.BuildUpdate(steady.Now(), s.log, body.FetchView.GetFromVersion(), fresh, s.WithholdUnconfirmed))
 	}
 	return false, nil
@@ -106,7 +106,7 @@
 				return nil // the follower has disconnected
 			}
 		}
-		fresh := s.stampedFreshness()
+		fresh := s.stampedFreshness() // before the time of the ages; see view.WatchSession.Next
 		if update := session.Next(steady.Now(), fresh); update != nil {
 			if err := s.send(call, update); err != nil {
 				return nil // the follower has disconnected
