--- a/internal/consensus/replica_test.go
+++ b/internal/consensus/replica_test.go
@@ -218,6 +218,30 @@
 	}
 }
 
+// Guards against a follower that vouches for a view without entries that were acknowledged before, and against one
+// that is never confirmed because the leader commits faster than the follower hears of it.
+func TestContactCountsOnceItsEntriesAreCommitted(t *testing.T) {
+	is := is.New(t)
+	r := newVoterOfThree(is, storage.HardState{Term: 1, Commit: 1}, 1, 1, 1, 1)
+	r.clockOffset = 1 << 40
+	heartbeat := func(at time.Duration, quorumCommit, commit uint64) {
+		r.Step(start.Add(at), &wire.ConsensusMessage{
+			Type: wire.ConsensusMessage_TYPE_HEARTBEAT, From: 2, To: 1, Term: 1, Commit: commit,
+			EchoUs: r.clockOffset + uint64(at.Microseconds()), QuorumAgeMs: 1, QuorumCommit: quorumCommit,
+		})
+	}
+	heartbeat(100*time.Millisecond, 2, 1)
+	is.True(r.ConfirmedAt().IsZero())
+	for i := range 5 { // the leader commits on
+		heartbeat(time.Duration(200+i)*time.Millisecond, 4, 1)
+	}
+	is.True(r.ConfirmedAt().IsZero())
+	heartbeat(300*time.Millisecond, 4, 2)
+	is.Equal(r.ConfirmedAt(), start.Add(99*time.Millisecond))
+	heartbeat(400*time.Millisecond, 9, 4)
+	is.Equal(r.ConfirmedAt(), start.Add(299*time.Millisecond))
+}
+
 // A new replica may know the addresses of followers only. Its join request reaches the
 // leader through one of them and is forwarded at most once.
 func TestJoinIsForwardedToLeader(t *testing.T) {
