--- a/internal/forward/connpool.go
+++ b/internal/forward/connpool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"expvar"
@@ -21,7 +22,9 @@
 
 	"golang.org/x/sys/unix"
 
+	"parsleypulley/internal/connend"
 	"parsleypulley/internal/membudget"
+	"parsleypulley/internal/responsescan"
 )
 
 // Timeouts and limits of connections to backend servers.
@@ -126,11 +129,7 @@
 
 // setUserTimeout sets TCP_USER_TIMEOUT on the connection; 0 stands for none.
 func (c *conn) setUserTimeout(timeout time.Duration) error {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return err
 	}
@@ -168,7 +167,7 @@
 
 // conn is a connection to a backend server. It carries one call at a time.
 type conn struct {
-	net.Conn
+	*connend.Conn
 	address string
 	r       *bufio.Reader
 	// head limits what is read for the head of a response.
@@ -276,12 +275,13 @@
 
 // dial opens a new connection to address.
 func (p *connPool) dial(ctx context.Context, address string) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", address)
+	dialed, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		connections.Add("failed", 1)
 		return nil, err
 	}
 	connections.Add("opened", 1)
+	raw := connend.New(dialed)
 	head := &headLimiter{r: raw}
 	return &conn{Conn: raw, address: address, r: bufio.NewReaderSize(head, readBuffer), head: head, memory: p.memory}, nil
 }
@@ -368,6 +368,9 @@
 	if err := c.SetReadDeadline(limit); err != nil {
 		return err
 	}
+	if b, ok := body.(*closeDelimitedBody); ok {
+		body = b.ReadCloser // nobody gets the body, so whether it is whole does not matter
+	}
 	n, err := io.Copy(io.Discard, io.LimitReader(body, maxDiscardedBytes))
 	switch {
 	case err != nil:
@@ -475,11 +478,7 @@
 	if c.r.Buffered() > 0 {
 		return true, true
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return false, true
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return false, false
 	}
@@ -512,6 +511,9 @@
 			return nil, reqWrite, true, err
 		}
 		if isMatch(resp) {
+			if endsWithConnection(resp) {
+				resp.Body = &closeDelimitedBody{ReadCloser: resp.Body, conn: c.Conn, written: reqWrite.finished}
+			}
 			return resp, reqWrite, true, nil
 		}
 		if err := c.discard(resp.Body, strayTimeout); err != nil {
@@ -521,6 +523,37 @@
 	return nil, reqWrite, true, errOtherCall
 }
 
+// endsWithConnection reports whether only the end of its connection marks the end of a response.
+func endsWithConnection(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
+}
+
+// closeDelimitedBody is a body whose end is that of its connection. It ends with io.EOF only if the connection ended in
+// an orderly way behind the whole request.
+type closeDelimitedBody struct {
+	io.ReadCloser
+	conn *connend.Conn
+	// written is closed when writing of the request has ended.
+	written <-chan struct{}
+	// end is the error that ended the body.
+	end error
+}
+
+// Read implements io.Reader.
+func (b *closeDelimitedBody) Read(p []byte) (int, error) {
+	if b.end != nil {
+		return 0, b.end
+	}
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		if cut := b.conn.AwaitDelivery(b.written); cut != nil {
+			err = cut
+		}
+	}
+	b.end = err
+	return n, err
+}
+
 // requestWrite is the state of writing a request.
 type requestWrite struct {
 	// sent is set if any byte may have been written.
@@ -576,15 +609,49 @@
 	return n, err
 }
 
+// errFaultyFraming is returned for a response whose body has no certain end.
+var errFaultyFraming = errors.New("the response has chunks, which its version of HTTP does not have")
+
+// hasFaultyFraming reports whether the next head is one of HTTP/1.0 with a Transfer-Encoding. A head that does not fit
+// into the read buffer is not looked at. Errors are left to the reader of the head.
+func (c *conn) hasFaultyFraming() bool {
+	const version = "HTTP/1.0"
+	if start, _ := c.r.Peek(len(version)); string(start) != version {
+		return false
+	}
+	for n := c.r.Buffered(); n <= c.r.Size(); n = max(n+1, c.r.Buffered()) {
+		head, err := c.r.Peek(n)
+		if bytes.Contains(head, []byte("\n\r\n")) || bytes.Contains(head, []byte("\n\n")) || err != nil {
+			return responsescan.FaultyFraming(head)
+		}
+	}
+	return false
+}
+
+// errInvalidStatus is returned for a response whose status is none.
+var errInvalidStatus = errors.New("the status of the response is invalid")
+
+// isStatus reports whether a response may have the status. 101 switches to another protocol, for which no request asks:
+// what follows it is no response.
+func isStatus(status int) bool {
+	return status >= 100 && status < 600 && status != http.StatusSwitchingProtocols
+}
+
 // readHead reads the headers of the next response and skips interim (1xx)
 // responses.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.head.begin()
 	defer c.head.end()
 	for range maxInterimResponses + 1 {
+		faulty := c.hasFaultyFraming()
 		resp, err := http.ReadResponse(c.r, req)
-		if err != nil {
+		switch {
+		case faulty:
+			return nil, errFaultyFraming
+		case err != nil:
 			return nil, err
+		case !isStatus(resp.StatusCode):
+			return nil, fmt.Errorf("%w: %d", errInvalidStatus, resp.StatusCode)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			if c.head.hold != nil {
