--- a/internal/fleet/rollout_lost_test.go
+++ b/internal/fleet/rollout_lost_test.go
@@ -262,7 +262,7 @@
 		h := newLossyHarness(t, 18, seed, 0.97)
 		h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
 		h.run(4 * time.Second)
-		h.rollout = NewRollout(8, h.now, 3*time.Second)
+		h.rollout = NewRollout(8, h.now, 3*time.Second, h.history)
 		for _, e := range h.engines {
 			for _, d := range e.delayed {
 				is.Equal(d.order.Fencing, uint64(7))
@@ -344,7 +344,7 @@
 	member := &wire.Member{Backend: b, State: wire.BackendState_BACKEND_STATE_READY}
 	targets := []*wire.WeightsTarget{{Model: "a", Version: 2}, {Model: "b", Version: 5}}
 	report := &EngineReport{Weights: map[string]uint64{"a": 1, "b": 4}, Orders: 3}
-	r := NewRollout(7, now, 0)
+	r := NewRollout(7, now, 0, NewTargetHistory())
 	var orders []*LoadOrder
 	var perform func(actions []RolloutAction)
 	perform = func(actions []RolloutAction) {
