routing: requests are sent to outdated weights only if they are expected to begin in time

Request.WeightsLimits says by when a request must begin below a version. A server is chosen only if a multiple of the predicted time to the first token, and margins for the way there and for taking the attempt back, are left until then. All ways to a server have the check: first candidates, random ones, last resort, fallback, probes of quiet servers, choice by room in limits, CanChoose. If none of the first candidates is in time, all servers are checked, as with 72 engines one without a queue may not be among the candidates.

If only servers with outdated weights remain, the error has a time to come back: one second, as rollouts take further engines each second, and callers have few retries.

Evidence: with the check always true, as it was, TestQueueLongerThanTheTimeLeft, TestNoWayAroundWeightsLimits, TestWeightsLimitThatApplies and TestResponsesThatDoNotShowTheirBeginning fail. The limits are not set yet.

--- a/internal/routing/candidates.go
+++ b/internal/routing/candidates.go
@@ -80,7 +80,13 @@
 
 // eligible reports whether a request may go to a backend server.
 func (r *Router) eligible(now time.Time, s *server, req *Request) bool {
-	return s.eligible(now, req) && (!req.withRoom || r.hasRoom(now, s, req))
+	return s.eligible(now, req) && (!req.withRoom || r.hasRoom(now, s, req)) && r.beginsInTime(now, s, req)
+}
+
+// beginsInTime reports whether a request is expected to begin in time at a backend server, if it has a check
+// for that.
+func (r *Router) beginsInTime(now time.Time, s *server, req *Request) bool {
+	return req.check == nil || req.check.passes(r, now, s, req)
 }
 
 // addRandom draws randomCandidates backend servers, appends to dst those that
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"slices"
 	"time"
 
 	"parsleypulley/internal/prefix"
@@ -107,29 +108,17 @@
 	}
 	pr := newPrompt(req)
 	var buf [maxCandidates]candidate
-	found, req := r.poolCandidates(now, p, pr.key(), req, buf[:0])
-	if len(found) == 0 {
-		probe, rest := r.quietCandidate(now, p, req)
-		switch {
-		case probe != nil:
-			found = append(found, newCandidate(now, probe, req.Model, 0))
-		case rest > 0:
-			return nil, allQuiet(rest)
-		default:
-			return nil, noBackend(req, len(r.servers))
-		}
+	best, found, req, err := r.bestCandidate(now, p, &pr, req, buf[:0])
+	if err != nil {
+		return nil, err
 	}
-	r.predictCached(now, &pr, found)
-	best := r.cheapest(now, p, &pr, found)
 	r.permits.Want(best.server.key, req.Urgency)
 	if !r.hasRoom(now, best.server, req) {
 		var other [maxCandidates]candidate
-		withRoom := r.candidatesWithRoom(now, p, &pr, req, other[:0])
-		if len(withRoom) == 0 {
+		best = r.bestWithRoom(now, p, &pr, req, other[:0])
+		if best == nil {
 			return nil, r.noRoom(now, found, req)
 		}
-		r.predictCached(now, &pr, withRoom)
-		best = r.cheapest(now, p, &pr, withRoom)
 	}
 	d := r.newDecision(req, p, &pr, best)
 	if d.Backend.Address != "" && r.settings.ImportRate > 0 {
@@ -138,6 +127,35 @@
 	return d, nil
 }
 
+// bestCandidate returns the candidate with the lowest cost, the candidates at which the request is expected
+// to begin in time, and the request with which they were found. If it can't begin in time at any of the
+// candidates, it looks for others among all backend servers.
+func (r *Router) bestCandidate(now time.Time, p *pool, pr *prompt, req *Request, dst []candidate) (*candidate, []candidate, *Request, error) {
+	found, used := r.poolCandidates(now, p, pr.key(), req, dst)
+	if len(found) == 0 {
+		probe, rest := r.quietCandidate(now, p, req)
+		outdated := r.noneInTime(now, p, req)
+		switch {
+		case probe != nil:
+			found = append(found, newCandidate(now, probe, req.Model, 0))
+		case rest > 0:
+			return nil, nil, req, allQuiet(rest)
+		case outdated != nil:
+			return nil, nil, req, outdated
+		default:
+			return nil, nil, req, noBackend(req, len(r.servers))
+		}
+	}
+	r.predictCached(now, pr, found)
+	best, inTime := r.cheapest(now, p, pr, used, found)
+	if best == nil {
+		checked := *req
+		checked.check = newBeginCheck(now, p, pr)
+		return r.bestCandidate(now, p, pr, &checked, dst)
+	}
+	return best, inTime, used, nil
+}
+
 // CanChoose reports whether there is a backend server for an attempt, with room in its limit and not
 // one that wants no requests now. It changes nothing.
 func (r *Router) CanChoose(now time.Time, req *Request) bool {
@@ -145,13 +163,18 @@
 	if p == nil {
 		return false
 	}
-	lastResort := *req
+	checked := *req
+	if len(req.WeightsLimits) > 0 {
+		pr := newPrompt(req)
+		checked.check = newBeginCheck(now, p, &pr)
+	}
+	lastResort := checked
 	lastResort.lastResort = true
-	for _, req := range []*Request{req, &lastResort} {
+	for _, req := range []*Request{&checked, &lastResort} {
 		eligible := false
 		for _, g := range []group{p.ready, p.fallback} {
 			for _, s := range g.servers {
-				if !s.eligible(now, req) {
+				if !s.eligible(now, req) || !r.beginsInTime(now, s, req) {
 					continue
 				}
 				if r.hasRoom(now, s, req) {
@@ -260,8 +283,9 @@
 	}
 }
 
-// cheapest returns the candidate with the lowest cost.
-func (r *Router) cheapest(now time.Time, p *pool, pr *prompt, found []candidate) *candidate {
+// cheapest predicts the costs of candidates, and returns the one with the lowest cost, among those at which
+// the request is expected to begin in time, and these, in the place of found. best is nil if there are none.
+func (r *Router) cheapest(now time.Time, p *pool, pr *prompt, req *Request, found []candidate) (best *candidate, inTime []candidate) {
 	source := importSource(found)
 	homeReplicas := replicas(r.hot.load(now, pr.key())/r.requestShare.value(), len(found))
 	contextSeconds := 0.0
@@ -269,19 +293,24 @@
 		contextSeconds = float64(pr.levels[pr.contextIndex].Tokens) / float64(p.rate)
 	}
 	typical := typicalRequests(found)
-	best := &found[0]
+	inTime = found
 	for i := range found {
-		c := &found[i]
-		r.predictCost(now, p, pr, c, source, typical)
+		r.predictCost(now, p, pr, &found[i], source, typical)
+	}
+	if len(req.WeightsLimits) > 0 && req.check == nil {
+		inTime = slices.DeleteFunc(found, func(c candidate) bool { return !req.beginsInTime(now, p, &c) })
+	}
+	for i := range inTime {
+		c := &inTime[i]
 		c.cost += r.placementPenalty(c, homeReplicas, contextSeconds)
 		if c.model.weightsVersion < pr.preferredWeights {
 			c.cost += outdatedWeightsPenalty
 		}
-		if c.cost < best.cost {
+		if best == nil || c.cost < best.cost {
 			best = c
 		}
 	}
-	return best
+	return best, inTime
 }
 
 // typicalRequests returns the mean number of requests at the candidates whose load is
@@ -429,6 +458,9 @@
 
 		MinWeightsVersion: req.MinWeightsVersion,
 	}
+	if at, limited := req.beginBy(c.model.weightsVersion); limited {
+		d.BeginBy, d.timeToBegin = at, req.timeToBegin(p, c)
+	}
 	if c.source != nil {
 		d.KVSource = c.source.backend.AgentAddress
 	}
--- a/internal/routing/limit.go
+++ b/internal/routing/limit.go
@@ -19,13 +19,28 @@
 	return r.permits.HasRoom(now, s.key, req.Urgency)
 }
 
-// candidatesWithRoom returns the candidates whose limits have room.
-func (r *Router) candidatesWithRoom(now time.Time, p *pool, pr *prompt, req *Request, dst []candidate) []candidate {
+// bestWithRoom returns the candidate with the lowest cost among those whose limits have room; nil if there
+// are none.
+func (r *Router) bestWithRoom(now time.Time, p *pool, pr *prompt, req *Request, dst []candidate) *candidate {
 	withRoom := *req
 	withRoom.withRoom = true
-	found := r.candidates(now, p.ready, pr.key(), &withRoom, dst)
+	found := r.candidatesWithRoom(now, p, pr, &withRoom, dst)
+	r.predictCached(now, pr, found)
+	best, _ := r.cheapest(now, p, pr, &withRoom, found)
+	if best == nil && len(req.WeightsLimits) > 0 && req.check == nil {
+		withRoom.check = newBeginCheck(now, p, pr)
+		found = r.candidatesWithRoom(now, p, pr, &withRoom, dst)
+		r.predictCached(now, pr, found)
+		best, _ = r.cheapest(now, p, pr, &withRoom, found)
+	}
+	return best
+}
+
+// candidatesWithRoom returns the candidates whose limits have room.
+func (r *Router) candidatesWithRoom(now time.Time, p *pool, pr *prompt, withRoom *Request, dst []candidate) []candidate {
+	found := r.candidates(now, p.ready, pr.key(), withRoom, dst)
 	if len(found) == 0 {
-		found = r.candidates(now, p.fallback, pr.key(), &withRoom, dst)
+		found = r.candidates(now, p.fallback, pr.key(), withRoom, dst)
 	}
 	return found
 }
--- a/internal/routing/notice.go
+++ b/internal/routing/notice.go
@@ -143,7 +143,7 @@
 	for _, g := range []group{p.ready, p.fallback} {
 		for _, s := range g.servers {
 			n := s.notices
-			if n.leaving || !n.quiet(now) || !s.fits(req) {
+			if n.leaving || !n.quiet(now) || !s.fits(req) || !r.beginsInTime(now, s, req) {
 				continue
 			}
 			if left := n.quietUntil.Sub(now); rest == 0 || left < rest {
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -122,6 +122,17 @@
 	// MinWeightsVersion is the version of the model's weights below which no backend server
 	// is chosen.
 	MinWeightsVersion uint64
+	// WeightsLimits say by when the request must begin on outdated weights. A backend server at which it is
+	// not expected to begin well before that is not chosen.
+	WeightsLimits []WeightsLimit
+	// Deadline is the time at which the request ends also if it still waits at the backend server; zero if
+	// unknown.
+	Deadline time.Time
+	// LastAttempt is set if the request is lost if the attempt has to be taken back since it has not begun
+	// in time: it must not run twice, or has no attempt left.
+	LastAttempt bool
+	// Streamed is set if the response shows its beginning.
+	Streamed bool
 	// SoftwareVersion is the only version of the backend servers' software that may be
 	// chosen if BoundToSoftware is set, since it began the stream.
 	SoftwareVersion string
@@ -132,6 +143,9 @@
 	// lastResort also admits backend servers whose breaker is open, if server.lastResort is
 	// closed.
 	lastResort bool
+	// check leaves out backend servers at which the request is not expected to begin in time; nil if
+	// candidates only are checked for that.
+	check *beginCheck
 }
 
 // poolOf returns the pool of the request, or nil. All backend servers of a service get requests for
@@ -252,8 +266,13 @@
 	CacheVersion uint64
 	// MinWeightsVersion is that of the request.
 	MinWeightsVersion uint64
+	// BeginBy is the time by which the attempt must begin, as the backend server's weights are outdated; zero
+	// if there is none. An attempt that has not begun TakeBackMargin before must be taken back.
+	BeginBy time.Time
 
-	server *server
+	// timeToBegin is the time that must be left until BeginBy when the attempt is sent.
+	timeToBegin time.Duration
+	server      *server
 	// model is the state of the request's model at server.
 	model *modelState
 	pool  *pool
