forward: calls that have not begun in time on outdated weights are taken back

The prediction on which an engine is chosen is an estimate, so it can't make the rule hold alone.

The selector makes WeightsLimits from when versions were named, and requests tell their deadline and whether an attempt that is taken back can be followed by another. A timer ends an attempt TakeBackMargin before it must have begun, unless an event with data, the head of a response that is no stream, or anything that the caller gets has come; whichever takes the attempt's lock first decides. The engine sees the connection close and drops what waits. A call that may run more than once goes on elsewhere within its attempts and the retry budget; any other ends as unknown. The timer looks up the versions every quarter of the bound, so that a call on the newest weights has a limit once these are outdated too. What goes out after a wait for a connection is checked again. Successors and resumed streams have the same timer.

forward_weights_limits counts what was taken back by what became of it; lines of attempts and calls have begin_in_ms.

--- a/internal/event/call.go
+++ b/internal/event/call.go
@@ -89,6 +89,9 @@
 	// was none.
 	WeightsRequired    uint64
 	WeightsOutdatedFor time.Duration
+	// BeginIn is the time within which the call had to begin at the engine, as its weights were outdated. It is not
+	// logged if nil.
+	BeginIn *time.Duration
 	// CacheImportAddress is the address from which the engine may fetch cached state;
 	// empty for none.
 	CacheImportAddress string
@@ -116,6 +119,9 @@
 		fields["prompt"], fields["opening"], fields["cached"] = p.Tokens, p.SharedPrefixTokens, p.ExpectedCachedTokens
 		fields["wait_ms"], fields["prefill_ms"], fields["model"], fields["weights"] = milliseconds(p.Wait), milliseconds(p.Prefill), p.Model, p.Weights
 		fields["weights_required"], fields["weights_outdated_ms"] = p.WeightsRequired, milliseconds(p.WeightsOutdatedFor)
+		if p.BeginIn != nil {
+			fields["begin_in_ms"] = milliseconds(*p.BeginIn)
+		}
 		fields["import"], fields["save"] = p.CacheImportAddress, p.CacheSaveAddress
 	}
 	if len(c.Outcomes) > 0 {
@@ -152,6 +158,9 @@
 	// ViewVersion is the version of the view from which the backend server was
 	// chosen. It is not logged if 0.
 	ViewVersion uint64
+	// BeginIn is the time left until the attempt had to begin, as the weights of the engine were outdated. It is
+	// not logged if nil.
+	BeginIn *time.Duration
 }
 
 func (a Attempt) fields() log.Fields {
@@ -162,6 +171,9 @@
 	if a.ViewVersion != 0 {
 		fields["view"] = a.ViewVersion
 	}
+	if a.BeginIn != nil {
+		fields["begin_in_ms"] = milliseconds(*a.BeginIn)
+	}
 	return fields
 }
 
--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -132,12 +132,16 @@
 
 // checkSend returns a function that returns an error if the request must not be sent any more. It
 // is called after the wait for a connection.
-func (c *forwardedCall) checkSend() func() error {
+func (c *forwardedCall) checkSend(d *routing.Decision) func() error {
 	selectedAt, scope := c.f.selector.clock(), c.cacheScope
 	return func() error {
-		if c.f.selector.clock().Sub(selectedAt) > maxSelectionAge {
+		now := c.f.selector.clock()
+		if now.Sub(selectedAt) > maxSelectionAge {
 			return errSelectionOutdated
 		}
+		if err := c.mayBegin(now, d); err != nil {
+			return err
+		}
 		if c.isFinal() {
 			return errStopEnds
 		}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -10,7 +10,6 @@
 	"slices"
 	"time"
 
-	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/routing"
 )
@@ -121,13 +120,15 @@
 		crashes.Add("cancelled", 1)
 		return c.Cancelled(partReason)
 	}
+	if errors.Is(context.Cause(c.ctx), errTakenBack) {
+		return c.takenBack(now, d, fail)
+	}
 	if errors.Is(fail.err, errWithdrawn) {
 		c.f.selector.failed(d, fault.Cancelled)
 		c.triedBackends = c.triedBackends[:len(c.triedBackends)-1] // it may be chosen again
 		c.outcomes = append(c.outcomes, c.backend+":withdrawn")
 		countAttempt(c.backend, "withdrawn")
-		event.ForwardAttemptFailed(event.Attempt{Request: c.call.ID, Backend: c.backend, Address: d.Backend.GetAddress(), Number: c.AttemptCount(),
-			ViewVersion: c.snapshot.Version}, "withdrawn", fail.err)
+		c.logFailure(d, "withdrawn", fail.err)
 		return c.Next(now, Unsent, nil)
 	}
 	if fail.outcome == Unsent && isTimeout(fail.err) {
@@ -141,8 +142,7 @@
 	countAttempt(c.backend, fail.outcome.String())
 	c.f.selector.failed(d, c.failureKind(fail.outcome))
 	c.outcomes = append(c.outcomes, fmt.Sprintf("%s:%s", c.backend, c.outcomeText(fail.outcome)))
-	event.ForwardAttemptFailed(event.Attempt{Request: c.call.ID, Backend: c.backend, Address: d.Backend.GetAddress(), Number: c.AttemptCount(),
-		ViewVersion: c.snapshot.Version}, c.outcomeText(fail.outcome), fail.err)
+	c.logFailure(d, c.outcomeText(fail.outcome), fail.err)
 	retryTaken := endedByWatch(c.ctx) && c.watched.retryTaken
 	return c.Next(now, fail.outcome, func() bool { return retryTaken || c.f.selector.tryRetry(c.service) })
 }
@@ -168,6 +168,9 @@
 	if c.route.GetStream() {
 		a.pauses = c.f.silence.pauses.of(c.route.GetName())
 	}
+	if t := c.beginWatch(d); t != nil {
+		a.watchBegin(t)
+	}
 	return a
 }
 
@@ -179,12 +182,14 @@
 	if c.headerWritten {
 		allowed = c.MayFollow()
 	}
-	c.watched.allowEnd(allowed, c.headerWritten, *c.routingRequest())
+	c.watched.allowEnd(allowed, c.headerWritten, *c.routingRequest(2))
 }
 
-// routingRequest returns the request for the backend server of the next attempt.
-func (c *forwardedCall) routingRequest() *routing.Request {
+// routingRequest returns the request for the backend server of the next attempt. executions is the number of
+// attempts that may have been executed once it may have been too, without those counted already.
+func (c *forwardedCall) routingRequest(executions int) *routing.Request {
 	return &routing.Request{
+		Deadline: c.f.selector.clock().Add(time.Until(c.Deadline)), LastAttempt: !c.mayFollow(executions), Streamed: c.route.GetStream(),
 		Service: c.service, Model: c.model(), Account: c.cacheScope.salt, Levels: c.promptLevels, Tried: c.excludedBackends(), Urgency: urgencyOf(c.route, c.account),
 		SoftwareVersion: c.softwareVersion, BoundToSoftware: c.bound,
 	}
@@ -221,7 +226,7 @@
 // selectBackend selects the backend server for an attempt. If that takes permits, it waits
 // for them for a short time.
 func (c *forwardedCall) selectBackend() (*routing.Decision, error) {
-	req := c.routingRequest()
+	req := c.routingRequest(1)
 	d, err := c.f.selector.selectBackend(req, c.startLimits())
 	if errors.Is(err, routing.ErrPermitsNeeded) {
 		c.f.permits.refresh(c.callCtx)
@@ -236,7 +241,7 @@
 // the next step of the call.
 func (c *forwardedCall) runAttempt(now time.Time, d *routing.Decision, s *successor) (*failure, Step) {
 	c.decision = d
-	c.outdatedFor = c.f.selector.outdatedFor(d)
+	c.outdatedFor, c.beginIn = c.f.selector.outdatedFor(d), beginIn(d, c.f.selector.clock())
 	c.cacheImportAddress, c.cacheSaveAddress = c.cacheTransfers(d)
 	var resp *response
 	var fail *failure
@@ -316,6 +321,9 @@
 // within them can still be retried. It must not be called once the caller has been sent headers.
 func (c *forwardedCall) forwardResponse(d *routing.Decision, r *response, outcome Outcome) (*failure, Step) {
 	c.watched.expectNoEvents()
+	if fail := c.hasBegun(r); fail != nil { // the head shows it
+		return fail, Step{}
+	}
 	if outcome == Failed {
 		now := time.Now()
 		step := c.Next(now, Failed, func() bool { return c.f.selector.tryRetry(c.service) })
@@ -486,6 +494,11 @@
 			return &failure{InvalidResponse, withCause(c.ctx, err)}, Step{}
 		}
 		progress := hasData(event)
+		if progress || !c.headerWritten {
+			if fail := c.hasBegun(r); fail != nil {
+				return fail, Step{}
+			}
+		}
 		if c.route.GetResumable() {
 			if err := c.position.check(event, id, progress); err != nil {
 				r.close(false)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -62,9 +62,9 @@
 	RevokeBound time.Duration
 	// ReportRates is set if the leader is to be told the rates of calls by service.
 	ReportRates bool
-	// WeightsBound is how long engines with older weights are used after this
-	// router has first seen a newer weights version. 0 means that they are always
-	// used.
+	// WeightsBound is the time after newer weights were named within which calls
+	// must have begun on older ones. Calls that would not are not sent there, and those
+	// that have not are taken back. 0 means that there is no such time.
 	WeightsBound time.Duration
 }
 
@@ -305,6 +305,8 @@
 	// outdatedFor is the time for which newer weights than those of the engine were known at the
 	// latest attempt.
 	outdatedFor time.Duration
+	// beginIn is the time within which the latest attempt had to begin; nil if there was none.
+	beginIn *time.Duration
 	// cacheImportAddress and cacheSaveAddress are the cache transfers of the
 	// latest attempt.
 	cacheImportAddress, cacheSaveAddress string
--- a/internal/forward/response.go
+++ b/internal/forward/response.go
@@ -124,7 +124,7 @@
 	}
 	if d := c.decision; d != nil && len(c.promptLevels) > 0 {
 		call.Prompt = &event.PromptRouting{SharedPrefixKey: c.promptLevels[max(0, len(c.promptLevels)-2)].GetKey(), Tokens: d.PromptTokens, SharedPrefixTokens: sharedPrefixTokens(c.promptLevels), ExpectedCachedTokens: d.CachedTokens,
-			Wait: d.Wait, Prefill: d.Prefill, Model: d.Model, Weights: d.WeightsVersion, WeightsRequired: d.MinWeightsVersion, WeightsOutdatedFor: c.outdatedFor, CacheImportAddress: c.cacheImportAddress, CacheSaveAddress: c.cacheSaveAddress}
+			Wait: d.Wait, Prefill: d.Prefill, Model: d.Model, Weights: d.WeightsVersion, WeightsRequired: d.MinWeightsVersion, WeightsOutdatedFor: c.outdatedFor, BeginIn: c.beginIn, CacheImportAddress: c.cacheImportAddress, CacheSaveAddress: c.cacheSaveAddress}
 	}
 	return call
 }
--- a/internal/forward/retry.go
+++ b/internal/forward/retry.go
@@ -198,8 +198,11 @@
 
 // MayFollow reports whether another attempt may follow the one that is running, if that one may have
 // been executed.
-func (s *RetryState) MayFollow() bool {
-	return s.Idempotent && s.possibleExecutions+1 < s.MaxAttempts && s.attempts < s.MaxAttempts+extraAttempts && (!s.delivered || s.Resumable)
+func (s *RetryState) MayFollow() bool { return s.mayFollow(1) }
+
+// mayFollow reports the same once a number of further attempts may have been executed.
+func (s *RetryState) mayFollow(executions int) bool {
+	return s.Idempotent && s.possibleExecutions+executions < s.MaxAttempts && s.attempts < s.MaxAttempts+extraAttempts && (!s.delivered || s.Resumable)
 }
 
 // giveUp returns the final step of a call that is not tried again.
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -45,7 +45,7 @@
 	// than the default: engines report what they hold late, and a context that is read
 	// or imported by a second engine displaces another one there.
 	affinityWeight = 10
-	// preferAfter is the time since this router first saw a weights version after
+	// preferAfter is the time since a weights version was named after
 	// which engines with older versions are ranked lower. It is shorter than the
 	// time after which they are no longer used, since calls wait in the engines'
 	// queues.
@@ -74,36 +74,63 @@
 	sel.targetHistory.Record(now, s.WeightsTargets())
 }
 
-// weightsVersions returns two versions of a model's weights: engines with a
-// version below required must not be used, and those below preferred are ranked
-// lower. 0 means no such version. sel.mu must be held.
-func (sel *backendSelector) weightsVersions(now time.Time, model string) (required, preferred uint64) {
-	versions := sel.targetHistory[model]
+// knownVersions returns the target versions of a model's weights, oldest first. sel.mu must be held.
+func (sel *backendSelector) knownVersions(model string) []fleet.TargetVersion {
+	return sel.targetHistory[model]
+}
+
+// namedSince returns the time before which a version was not named; zero if it is unknown, and then counts
+// as long ago.
+func namedSince(v fleet.TargetVersion) time.Time { return v.FirstSeen }
+
+// setWeights sets what a request for a backend server says of the weights: engines with a version below
+// MinWeightsVersion must not be used, calls must begin within WeightsLimits on those below newer ones, and those
+// below PreferredWeightsVersion are ranked lower. sel.mu must be held.
+func (sel *backendSelector) setWeights(now time.Time, req *routing.Request) {
+	req.MinWeightsVersion, req.PreferredWeightsVersion, req.WeightsLimits = 0, 0, nil
+	versions := sel.knownVersions(req.Model)
 	for _, known := range versions {
-		if sel.weightsBound > 0 && now.Sub(known.FirstSeen) >= sel.weightsBound {
-			required = known.Version
+		switch since := namedSince(known); {
+		case sel.weightsBound <= 0:
+		case now.Sub(since) >= sel.weightsBound:
+			req.MinWeightsVersion = known.Version
+		default:
+			req.WeightsLimits = append(req.WeightsLimits, routing.WeightsLimit{Below: known.Version, BeginBy: since.Add(sel.weightsBound)})
 		}
 	}
-	if n := len(versions); n > 0 && now.Sub(versions[n-1].FirstSeen) >= preferAfter {
-		preferred = versions[n-1].Version
+	if n := len(versions); n > 0 && now.Sub(namedSince(versions[n-1])) >= preferAfter {
+		req.PreferredWeightsVersion = versions[n-1].Version
+	}
+}
+
+// beginBy returns the time by which calls must begin on a version of a model's weights; limited is false if
+// there is none.
+func (sel *backendSelector) beginBy(model string, version uint64) (at time.Time, limited bool) {
+	since, outdated := sel.outdatedSince(model, version)
+	return since.Add(sel.weightsBound), outdated && sel.weightsBound > 0
+}
+
+// outdatedSince returns the earliest time at which a newer version of the weights can have been named; outdated
+// is false if none is known.
+func (sel *backendSelector) outdatedSince(model string, version uint64) (since time.Time, outdated bool) {
+	sel.mu.Lock()
+	defer sel.mu.Unlock()
+	for _, known := range sel.knownVersions(model) {
+		if at := namedSince(known); known.Version > version && (!outdated || at.Before(since)) {
+			since, outdated = at, true
+		}
 	}
-	return required, preferred
+	return since, outdated
 }
 
 // outdatedFor returns how long a newer version of the weights has been known than that of the chosen
 // engine; 0 if none is.
 func (sel *backendSelector) outdatedFor(d *routing.Decision) time.Duration {
-	if d.WeightsVersion == 0 {
+	since, outdated := sel.outdatedSince(d.Model, d.WeightsVersion)
+	if !outdated || d.WeightsVersion == 0 {
 		return 0
 	}
-	sel.mu.Lock()
-	defer sel.mu.Unlock()
-	for _, known := range sel.targetHistory[d.Model] {
-		if known.Version > d.WeightsVersion {
-			return sel.clock().Sub(known.FirstSeen)
-		}
-	}
-	return 0
+	return sel.clock().Sub(since)
 }
 
 // applyLoads applies the load reports of a digest.
@@ -118,19 +145,22 @@
 }
 
 // selectBackend selects a backend server for a call and records the attempt as
-// started. It sets the weights versions in req. If even the best backend server is predicted to be beyond
+// started. It sets the weights versions and limits in req. If even the best backend server is predicted to be beyond
 // limits, selectBackend returns an error whose RetryAfter is the excess. The error is
 // routing.ErrPermitsNeeded if permits should be asked for first.
 func (sel *backendSelector) selectBackend(req *routing.Request, limits startLimits) (*routing.Decision, error) {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	now := sel.clock()
-	req.MinWeightsVersion, req.PreferredWeightsVersion = sel.weightsVersions(now, req.Model)
+	sel.setWeights(now, req)
 	d, err := sel.router.Choose(now, req)
 	if errors.Is(err, routing.ErrPermitsNeeded) {
 		return nil, err
 	}
 	if err != nil {
+		if errors.Is(err, routing.ErrWeightsOutdated) {
+			weightsLimits.Add("refused", 1)
+		}
 		e := fault.From(err)
 		if e.RetryAfter > 0 {
 			// Callers return at different times after the first backend server wants calls.
@@ -227,7 +257,7 @@
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	now := sel.clock()
-	req.MinWeightsVersion, req.PreferredWeightsVersion = sel.weightsVersions(now, req.Model)
+	sel.setWeights(now, req)
 	return sel.router.CanChoose(now, req) && sel.budgetFor(service).tryWithdraw(now, sel.router.RequestShare())
 }
 
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -122,6 +122,8 @@
 	moving, over chan struct{}
 	// shortPauses counts the pauses that are not recorded yet.
 	shortPauses int64
+	// begin takes the attempt back if it has not begun in time; nil if it need not.
+	begin *beginTimer
 }
 
 // lostServer is the end of all attempts at a backend server that can't be reached.
@@ -153,6 +155,7 @@
 	a.mu.Lock()
 	a.ended = true
 	a.timer.Stop()
+	a.stopBegin()
 	if a.shortPauses > 0 {
 		a.pauses.recordPauses(time.Now(), shortPause, a.shortPauses)
 	}
@@ -510,10 +513,10 @@
 }
 
 // endedByWatch reports whether an attempt's context was ended since its backend server is
-// unreachable or its stream has stalled.
+// unreachable, its stream has stalled, or it has not begun in time.
 func endedByWatch(ctx context.Context) bool {
 	cause := context.Cause(ctx)
-	return errors.Is(cause, errUnreachable) || errors.Is(cause, errStalled)
+	return errors.Is(cause, errUnreachable) || errors.Is(cause, errStalled) || errors.Is(cause, errTakenBack)
 }
 
 // outcomeText returns the outcome of the current attempt for the log. An attempt that the router has
--- a/internal/forward/successor.go
+++ b/internal/forward/successor.go
@@ -96,10 +96,11 @@
 			kind, text, reason = faultKinds[s.failure.outcome], s.failure.outcome.String(), s.failure.err
 		}
 		s.cancel(errSuccessorDropped)
+		s.watched.endBegin()
 		c.f.selector.failed(s.decision, kind)
 		countAttempt(s.decision.Backend.GetName(), text)
 		event.ForwardAttemptFailed(event.Attempt{Request: c.call.ID, Backend: s.decision.Backend.GetName(), Address: s.decision.Backend.GetAddress(), Number: s.number,
-			ViewVersion: c.snapshot.Version}, text, fmt.Errorf("successor of a begun stream after %.40q: %w", s.after, reason))
+			ViewVersion: c.snapshot.Version, BeginIn: beginIn(s.decision, c.f.selector.clock())}, text, fmt.Errorf("successor of a begun stream after %.40q: %w", s.after, reason))
 	}
 	select {
 	case <-s.done:
@@ -163,7 +164,7 @@
 		header.Set("User-Agent", "") // keeps net/http from adding its own
 	}
 	req := newRequest(c.r, d.Backend.GetAddress(), header, c.body)
-	check, atMostOnce := c.checkSend(), !c.Idempotent
+	check, atMostOnce := c.checkSend(d), !c.Idempotent
 	return func(ctx context.Context, watched *watchedAttempt) (*response, *failure) {
 		return c.f.send(ctx, watched, d.Backend.GetAddress(), req, c.body, c.call.ID, atMostOnce, check, func(info ResponseInfo) { c.f.recordNotices(d, info) })
 	}
--- a/internal/node/router.go
+++ b/internal/node/router.go
@@ -46,8 +46,8 @@
 	// ReportRates makes the router report its rates of calls to the leader, which limits engines
 	// that start by them.
 	ReportRates bool
-	// WeightsBound is the time after which engines with outdated weights are no longer
-	// used. 0 means that they are always used.
+	// WeightsBound is the time after newer weights were named within which calls must have begun on
+	// outdated ones. 0 means that there is no such time.
 	WeightsBound time.Duration
 }
 
