--- a/internal/routing/weights.go
+++ b/internal/routing/weights.go
@@ -17,12 +17,15 @@
 	sendMargin = 50 * time.Millisecond
 	// beginFactor is the multiple of the predicted time to the first token that must be left until BeginBy.
 	// In a burst, calls waited 1.7 to 2.4 s where 0 to 1.2 s were predicted (docs/incidents/calls-on-old-weights.md).
-	beginFactor = 2
+	beginFactor = 2.0
 	// lastAttemptFactor and lastAttemptError take the place of beginFactor for a request that is lost if
 	// the prediction is wrong: the multiple, and the error that is allowed for beside it. In that burst the
 	// predictions were at least 0.5 s and at most 2.4 s too low; both values were chosen, not measured.
-	lastAttemptFactor = 4
+	lastAttemptFactor = 4.0
 	lastAttemptError  = time.Second
+	// lastAttemptDurations is the multiple of the mean duration of a request that must be left beside that if the
+	// response is no stream; others need one. A longer one that runs is taken back.
+	lastAttemptDurations = 2.0
 	// outdatedRetryAfter is the time after which a request may come back that no engine can begin in time. It
 	// can run once an engine has loaded the new weights. Rollouts take further engines each second; sooner,
 	// callers would use up their few retries, and later, engines that are back would be idle.
@@ -57,16 +60,16 @@
 }
 
 // timeToBegin returns the time that must be left until BeginBy when a request is sent to a candidate whose
-// cost has been predicted. The begin of a request whose response shows nothing before its end is known only then.
+// cost has been predicted. That a request whose response is no stream has begun is known only at its end.
 func (req *Request) timeToBegin(p *pool, c *candidate) time.Duration {
-	predicted := c.wait + c.prefill
-	if !req.Streamed {
-		predicted += p.meanDuration
-	}
+	factor, durations, margin := beginFactor, 1.0, time.Duration(0)
 	if req.LastAttempt {
-		return seconds(lastAttemptFactor*predicted) + lastAttemptError
+		factor, durations, margin = lastAttemptFactor, lastAttemptDurations, lastAttemptError
+	}
+	if req.Streamed {
+		durations = 0
 	}
-	return seconds(beginFactor * predicted)
+	return seconds(factor*(c.wait+c.prefill)+durations*p.meanDuration) + margin
 }
 
 // beginsInTime reports whether a request is expected to begin in time at a candidate whose cost has been
