forward: a running call is not taken back since newer weights were named meanwhile

A response that is no stream does not show that it has begun, so one that ran for longer than the bound on weights that were the newest when it was sent would have been ended with 502 once they were outdated for so long (found by reading, before this reached anybody). TestNewerWeightsAreNamedWhileACallRuns: 502 before, 200 after.

Also a test of routing: TestRoomOnlyWhereRequestsBeginLate.

--- a/internal/forward/begin.go
+++ b/internal/forward/begin.go
@@ -110,11 +110,13 @@
 	a.stopBegin()
 }
 
-// beginWatch returns the timer for an attempt; nil if it needs none.
+// beginWatch returns the timer for an attempt; nil if it needs none. A response that is no stream does not show
+// that it has begun: if the weights were the newest when the engine was chosen, it is not taken back, as it may
+// run for long.
 func (c *forwardedCall) beginWatch(d *routing.Decision) *beginTimer {
 	sel := c.f.selector
 	model := c.model()
-	if sel.weightsBound <= 0 || model == "" {
+	if sel.weightsBound <= 0 || model == "" || !c.route.GetStream() && d.BeginBy.IsZero() {
 		return nil
 	}
 	return &beginTimer{clock: sel.clock, interval: sel.weightsBound / beginCheckParts, beginBy: func() (time.Time, bool) { return sel.beginBy(model, d.WeightsVersion) }}
--- a/internal/forward/begin_test.go
+++ b/internal/forward/begin_test.go
@@ -372,3 +372,21 @@
 	}
 	is.Equal(sent.Load(), int32(0))
 }
+
+// Guards against a running call that is ended since newer weights were named meanwhile: a response that is no stream
+// does not show that it has begun.
+func TestNewerWeightsAreNamedWhileACallRuns(t *testing.T) {
+	const bound = time.Second
+	is := is.New(t)
+	w := newWeightsFixture(t, bound, setAtMostOnce, nil)
+	w.addEngine("1", func(c net.Conn, r *http.Request) {
+		time.Sleep(2 * bound)
+		writeResponse(c, r, 200, "", "whole")
+	})
+	w.name(1)
+	time.AfterFunc(200*time.Millisecond, func() { w.name(2) })
+	status, body, _, err := w.callModel("c1")
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, "whole")
+}
--- a/internal/routing/weights_test.go
+++ b/internal/routing/weights_test.go
@@ -215,3 +215,26 @@
 	_, err = r.Choose(start, req)
 	is.True(!errors.Is(err, ErrWeightsOutdated))
 }
+
+// Guards against a request that goes to a server where it begins too late, since those where it would begin in time
+// have no room in their limits: it is told when there is room.
+func TestRoomOnlyWhereRequestsBeginLate(t *testing.T) {
+	is := is.New(t)
+	now := start
+	members := directMembers(2)
+	r := New("a", 1)
+	r.SetBackends(now, members)
+	namesLimit(r, now, members, 2, 2)
+	fillQueue(r, now, "e01", 4)
+	grant(r, now, members[1], 5, 5, 5)
+	req := limitedRequest(now, time.Second)
+	req.PermitsAsked = true
+	_, err := r.Choose(now, req)
+	is.True(fault.Is(err, fault.Overloaded))
+	is.True(!r.CanChoose(now, req))
+	r.LoadReported(now.Add(time.Millisecond), "e01", &wire.Load{})
+	r.servers["e01"].report.prefill = prefillWork{}
+	d, err := r.Choose(now, req)
+	is.NoErr(err)
+	is.Equal(d.Backend.Name, "e01")
+}
