--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -63,10 +63,11 @@
 	RevokeBound time.Duration
 	// ReportRates is set if the leader is to be told the rates of calls by service.
 	ReportRates bool
-	// WeightsBound is how long engines with older weights are used after the last time before
-	// which no newer weights version was acknowledged, as far as Targets tells. Engines of which
-	// it tells no time are not used: since that may be so a minute after a version was named,
-	// longer bounds are not kept exactly. 0 means that engines with older weights are always used.
+	// WeightsBound is the time within which calls must have begun on older weights, since the last time
+	// before which no newer version was acknowledged, as far as Targets tells. Calls that would not are
+	// not sent there, and those that have not are taken back. Engines of which Targets tells no time are
+	// not used: since that may be so a minute after a version was named, longer bounds are not kept
+	// exactly. 0 means that there is no such time.
 	WeightsBound time.Duration
 	// Targets tells when weights versions were named. It must be that of the log of Views. If it
 	// is nil, engines with older weights are always used.
@@ -313,6 +314,8 @@
 	// outdatedFor is the time for which the weights of the engine can have been outdated at the
 	// latest attempt.
 	outdatedFor time.Duration
+	// beginIn is the time within which the latest attempt had to begin; nil if there was none.
+	beginIn *time.Duration
 	// cacheImportAddress and cacheSaveAddress are the cache transfers of the
 	// latest attempt.
 	cacheImportAddress, cacheSaveAddress string
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -44,7 +44,8 @@
 	// than the default: engines report what they hold late, and a context that is read
 	// or imported by a second engine displaces another one there.
 	affinityWeight = 10
-	// preferAfter is the time since a weights version was named after which engines with older versions are ranked lower. It is shorter than the
+	// preferAfter is the time since a weights version was named after
+	// which engines with older versions are ranked lower. It is shorter than the
 	// time after which they are no longer used, since calls wait in the engines'
 	// queues.
 	preferAfter = 1200 * time.Millisecond
@@ -70,20 +71,31 @@
 	sel.router.SetBackends(sel.clock(), s.Members())
 }
 
-// weightsVersions returns two versions of a model's weights: engines with a
-// version below required must not be used, and those below preferred are ranked
-// lower. 0 means no such version. sel.mu must be held.
-func (sel *backendSelector) weightsVersions(now time.Time, model string) (required, preferred uint64) {
-	versions := sel.targetHistory.Versions(model)
+// setWeights sets what a request for a backend server says of the weights: engines with a version below
+// MinWeightsVersion must not be used, calls must begin within WeightsLimits on those below newer ones, and those
+// below PreferredWeightsVersion are ranked lower. A version of unknown age counts as named long ago.
+func (sel *backendSelector) setWeights(now time.Time, req *routing.Request) {
+	req.MinWeightsVersion, req.PreferredWeightsVersion, req.WeightsLimits = 0, 0, nil
+	versions := sel.targetHistory.Versions(req.Model)
 	for _, known := range versions {
-		if sel.weightsBound > 0 && now.Sub(known.Since) >= sel.weightsBound {
-			required = known.Version
+		switch {
+		case sel.weightsBound <= 0:
+		case now.Sub(known.Since) >= sel.weightsBound:
+			req.MinWeightsVersion = known.Version
+		default:
+			req.WeightsLimits = append(req.WeightsLimits, routing.WeightsLimit{Below: known.Version, BeginBy: known.Since.Add(sel.weightsBound)})
 		}
 	}
 	if n := len(versions); n > 0 && now.Sub(versions[n-1].Since) >= preferAfter {
-		preferred = versions[n-1].Version
+		req.PreferredWeightsVersion = versions[n-1].Version
 	}
-	return required, preferred
+}
+
+// beginBy returns the time by which calls must begin on a version of a model's weights; limited is false if
+// there is none.
+func (sel *backendSelector) beginBy(model string, version uint64) (at time.Time, limited bool) {
+	since, outdated := sel.targetHistory.OutdatedSince(model, version)
+	return since.Add(sel.weightsBound), outdated && sel.weightsBound > 0
 }
 
 // outdatedFor returns for how long the weights of the chosen engine can have been outdated; 0 if they
@@ -111,19 +123,22 @@
 }
 
 // selectBackend selects a backend server for a call and records the attempt as
-// started. It sets the weights versions in req. If even the best backend server is predicted to be beyond
+// started. It sets the weights versions and limits in req. If even the best backend server is predicted to be beyond
 // limits, selectBackend returns an error whose RetryAfter is the excess. The error is
 // routing.ErrPermitsNeeded if permits should be asked for first.
 func (sel *backendSelector) selectBackend(req *routing.Request, limits startLimits) (*routing.Decision, error) {
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	now := sel.clock()
-	req.MinWeightsVersion, req.PreferredWeightsVersion = sel.weightsVersions(now, req.Model)
+	sel.setWeights(now, req)
 	d, err := sel.router.Choose(now, req)
 	if errors.Is(err, routing.ErrPermitsNeeded) {
 		return nil, err
 	}
 	if err != nil {
+		if errors.Is(err, routing.ErrWeightsOutdated) {
+			weightsLimits.Add("refused", 1)
+		}
 		e := fault.From(err)
 		if e.RetryAfter > 0 {
 			// Callers return at different times after the first backend server wants calls.
@@ -220,7 +235,7 @@
 	sel.mu.Lock()
 	defer sel.mu.Unlock()
 	now := sel.clock()
-	req.MinWeightsVersion, req.PreferredWeightsVersion = sel.weightsVersions(now, req.Model)
+	sel.setWeights(now, req)
 	return sel.router.CanChoose(now, req) && sel.budgetFor(service).tryWithdraw(now, sel.router.RequestShare())
 }
 
