--- a/internal/forward/forwarder_test.go
+++ b/internal/forward/forwarder_test.go
@@ -19,6 +19,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"parsleypulley/internal/fault"
+	"parsleypulley/internal/steady"
 	"parsleypulley/internal/view"
 	"parsleypulley/internal/wire"
 )
@@ -160,7 +161,8 @@
 func newFullFixture(t *testing.T, quota *wire.Quota, change func(*Options), route *wire.ForwardRoute, backends ...string) *fixture {
 	r := &fixture{t: t, log: view.NewLog(view.DefaultLogLimits()), control: newFakeControl(), quota: quota}
 	r.freshness.Store(&view.Freshness{Confirmed: true})
-	options := Options{Domain: "a", Seed: 1, Views: r.log.Store(), Freshness: r.readFreshness,
+	r.log.SetNewestAt(steady.Now) // targets are named when they are added
+	options := Options{Domain: "a", Seed: 1, Views: r.log.Store(), Targets: r.log.Targets(), Freshness: r.readFreshness,
 		Dialect: testDialect{}, Budget: DefaultRetryBudgetLimits(), Control: r.control}
 	change(&options)
 	r.f = New(options)
