fleet: an engine in doubt is returned to service again if the change was not committed

An engine whose order was refused or had no answer is returned to service and kept as in doubt. If that change was not committed (the leader stood still for longer than the proposal's 2 s and kept its term, or too many proposals waited), the engine stayed in LOADING: engines in doubt get orders only while they are READY, and they are no candidates. It got no calls and no weights until another leader was elected. Before orders in doubt were kept, such an engine was a candidate again after 0.4 s.

TestEngineIsReturnedToServiceAfterLostProposal failed before: of four engines one was still out of service after 2 s, and had old weights 15 s after orders were accepted again.

--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -469,7 +469,12 @@
 func (r *Rollout) advance(now time.Time, m *wire.Member, l *load, targets []*wire.WeightsTarget, actions []RolloutAction) []RolloutAction {
 	b := m.GetBackend()
 	if l.phase == inDoubt {
-		return actions
+		if m.GetState() != wire.BackendState_BACKEND_STATE_LOADING || now.Before(l.nextStep) {
+			return actions
+		}
+		// The change that returns the engine to service has not been committed.
+		l.nextStep = now.Add(orderRetryDelay)
+		return append(actions, r.returnToService(b, nil))
 	}
 	if now.Sub(l.lastProgress) >= progressTimeout {
 		if !l.outOfService {
--- a/internal/fleet/rollout_lost_test.go
+++ b/internal/fleet/rollout_lost_test.go
@@ -387,3 +387,30 @@
 		is.Equal(o.Orders, uint64(4))
 	}
 }
+
+// Guards against an engine that stays out of service until another leader is elected: the order to it was refused or
+// lost, and the change that returns it to service was not committed, as after a standstill of the leader.
+func TestEngineIsReturnedToServiceAfterLostProposal(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHarness(t, 4)
+	lost := 0
+	h.loses = func(change *wire.BackendChange) bool {
+		if change.Kind == wire.BackendChange_KIND_LOADED && lost == 0 {
+			lost++
+			return true
+		}
+		return false
+	}
+	for _, e := range h.engines {
+		e.refusal = fault.New(fault.Unavailable, fault.NotRun, "not now")
+	}
+	h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
+	h.run(2 * time.Second)
+	is.Equal(lost, 1)
+	is.Equal(h.outOfService(), 0)
+	for _, e := range h.engines {
+		e.refusal = nil
+	}
+	h.run(15 * time.Second)
+	is.Equal(h.countOutdated(2), 0)
+}
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -97,6 +97,8 @@
 	sentInService int
 	// check, if set, is called after each step.
 	check func()
+	// loses, if set, reports whether a proposed change is not committed.
+	loses func(*wire.BackendChange) bool
 }
 
 const (
@@ -272,6 +274,7 @@
 func (h *rolloutHarness) perform(actions []RolloutAction) {
 	for _, a := range actions {
 		switch {
+		case a.Propose != nil && h.loses != nil && h.loses(a.Propose):
 		case a.Propose != nil:
 			m := h.memberByName[a.Propose.Name]
 			next := &wire.Member{Backend: m.Backend, State: wire.BackendState_BACKEND_STATE_LOADING}
