fleet: a late report of a finished load does not take the engine out of service again

The leader handles the load reports of a round when the slowest engine has answered, 0.45 s after the queries if one does not answer. A report that showed the load was then handled after another one had shown its end, and counted as a new load: the engine left service again until the next report, with two more changes committed.

A report that says busy with no more accepted orders than the report that showed the end is older than that one, and is ignored for 1.5 s.

TestLateReportOfAFinishedLoadChangesNothing failed before.

--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -44,6 +44,10 @@
 	// maxReportAge is the longest time by which the state in a report is behind. Engines
 	// answer with a state of some hundred milliseconds ago.
 	maxReportAge = time.Second
+	// maxLateReport is the longest time after the end of a load at which a report from
+	// before it may be handled: the age of its state, and the time until the slowest
+	// engine that was queried together with it has answered, half a second.
+	maxLateReport = maxReportAge + 500*time.Millisecond
 	// progressTimeout is the time without progress after which the load of an engine
 	// is abandoned, so that another engine can load.
 	progressTimeout = 6 * time.Second
@@ -188,6 +192,8 @@
 	// ordersLost whether orders mostly got no answer, by them, at the last Plan.
 	outcomes   map[string]orderOutcome
 	ordersLost bool
+	// finished holds the last load of each engine that a report has shown to be done, by name.
+	finished map[string]finishedLoad
 	// slowestAnswer is the longest time that an engine took to answer an order.
 	slowestAnswer time.Duration
 	// history tells for how long engines have been outdated.
@@ -200,13 +206,21 @@
 	lost bool
 }
 
+// finishedLoad is a load that a report has shown to be done.
+type finishedLoad struct {
+	incarnation uint64
+	at          time.Time
+	// orders is the number of accepted orders in that report.
+	orders uint64
+}
+
 // NewRollout returns the rollout for the leader of term. It issues no order until
 // previousLease has passed, because the previous leader may still issue orders during
 // its lease. All times passed to the rollout must be of the clock of history, which tells when the
 // targets were named.
 func NewRollout(term uint64, now time.Time, previousLease time.Duration, history *TargetHistory) *Rollout {
 	return &Rollout{term: term, start: now.Add(previousLease), loads: map[string]*load{}, retryAt: map[string]time.Time{},
-		outcomes: map[string]orderOutcome{}, history: history}
+		outcomes: map[string]orderOutcome{}, finished: map[string]finishedLoad{}, history: history}
 }
 
 // Plan returns the actions that are due. It must be called every 50 to 100 ms with
@@ -376,6 +390,7 @@
 	}
 	maps.DeleteFunc(r.retryAt, func(name string, _ time.Time) bool { return findMember(members, name) == nil })
 	maps.DeleteFunc(r.outcomes, func(name string, _ orderOutcome) bool { return findMember(members, name) == nil })
+	maps.DeleteFunc(r.finished, func(name string, _ finishedLoad) bool { return findMember(members, name) == nil })
 }
 
 // candidates returns the engines that need new weights. Engines that an earlier leader
@@ -521,6 +536,7 @@
 	if model == "" || l.phase == loading && !proto.Equal(updated, b) {
 		// A finished load ends here even if there is a newer target by now.
 		delete(r.loads, b.GetName())
+		r.finished[b.GetName()] = finishedLoad{incarnation: b.GetAgentIncarnation(), at: now, orders: report.Orders}
 		return []RolloutAction{r.returnToService(b, updated)}
 	}
 	if l.phase == loading && report.Orders < l.loadingOrders && now.Sub(l.loadingSince) < maxReportAge {
@@ -559,6 +575,9 @@
 // ObserveReport processes a report that was requested for its load figures. It shows
 // whether an order that got no answer has been carried out after all.
 func (r *Rollout) ObserveReport(now time.Time, b *wire.Backend, report *EngineReport, targets []*wire.WeightsTarget) []RolloutAction {
+	if r.isOlderThanItsLoad(now, b, report) {
+		return nil
+	}
 	l := r.currentLoad(b)
 	if l != nil && l.phase == loading && !l.awaitingReply {
 		return r.Report(now, b, report, nil, targets)
@@ -585,6 +604,12 @@
 	return nil
 }
 
+// isOlderThanItsLoad reports whether a report shows a load that another one has shown to be done.
+func (r *Rollout) isOlderThanItsLoad(now time.Time, b *wire.Backend, report *EngineReport) bool {
+	last, ok := r.finished[b.GetName()]
+	return ok && report.Busy && last.incarnation == b.GetAgentIncarnation() && report.Orders <= last.orders && now.Sub(last.at) < maxLateReport
+}
+
 // OrderReply processes an engine's reply to an order. A nil error means that the
 // order was accepted, a fault.Conflict that the engine carries out another order or has
 // accepted one since its last report. Any other error with the outcome fault.NotRun is a
--- a/internal/fleet/rollout_lost_test.go
+++ b/internal/fleet/rollout_lost_test.go
@@ -414,3 +414,26 @@
 	h.run(15 * time.Second)
 	is.Equal(h.countOutdated(2), 0)
 }
+
+// Guards against an engine that is taken out of service again after its load, by a report that shows the load and is
+// handled late: the leader handles the load reports of a round together, after the slowest engine's.
+func TestLateReportOfAFinishedLoadChangesNothing(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHarness(t, 1)
+	e := h.engines[0]
+	asked := h.memberByName[e.name].Backend
+	var late *EngineReport
+	for version := uint64(2); version <= 3; version++ {
+		h.targets = []*wire.WeightsTarget{{Model: "m", Version: version}}
+		for begin := h.now; h.countOutdated(version) > 0; h.run(fakeStep) {
+			is.True(h.now.Sub(begin) < 3*time.Second)
+			if e.pendingVersion != 0 {
+				late = e.report()
+			}
+		}
+		is.True(late.Busy)
+		is.Equal(len(h.rollout.ObserveReport(h.now, asked, late, h.targets)), 0)
+	}
+	// Another order is seen.
+	is.Equal(len(h.rollout.ObserveReport(h.now, asked, &EngineReport{Weights: late.Weights, Busy: true, Orders: late.Orders + 1}, h.targets)), 1)
+}
