--- a/internal/forward/begin.go
+++ b/internal/forward/begin.go
@@ -64,7 +64,7 @@
 
 // checkBegin takes the attempt back if it is time. It is called by the timer.
 func (a *watchedAttempt) checkBegin() {
-	left := a.begin.next() // before mu: the selector's lock is taken
+	left := a.begin.next() // before mu: it takes the lock of the target history
 	a.mu.Lock()
 	if a.ended || a.begin.begun {
 		a.mu.Unlock()
