forward: calls that name no model keep the bound of their engines' only model

A call without a model, in a service that does not declare just one, runs on the only model that its engine announces. The versions were looked up by the call's empty name, so that no version was required, no limit applied and no timer ran: such calls began on outdated weights however long after newer ones were named.

They are looked up by the model that all backend servers of the service hold, if it is just one; the timer uses that of the chosen engine. Where engines of a service hold different models, calls without a name still have no bound.

TestCallWithoutAModelKeepsTheBound failed before: the waiting call was answered by the old engine 2.5 s after the name, with a bound of 2 s.

--- a/internal/forward/begin.go
+++ b/internal/forward/begin.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -115,7 +116,7 @@
 // run for long.
 func (c *forwardedCall) beginWatch(d *routing.Decision) *beginTimer {
 	sel := c.f.selector
-	model := c.model()
+	model := cmp.Or(c.model(), d.Model)
 	if sel.weightsBound <= 0 || model == "" || !c.route.GetStream() && d.BeginBy.IsZero() {
 		return nil
 	}
--- a/internal/forward/begin_test.go
+++ b/internal/forward/begin_test.go
@@ -390,3 +390,30 @@
 	is.Equal(status, 200)
 	is.Equal(body, "whole")
 }
+
+// Guards against calls that name no model and begin on outdated weights after the bound, where only the engines tell
+// which model they hold: sent after the bound, or sent before and waiting until after it.
+func TestCallWithoutAModelKeepsTheBound(t *testing.T) {
+	is := is.New(t)
+	const bound = 2 * time.Second
+	w := newWeightsFixture(t, bound, setStream, nil)
+	old := &waitingEngine{wait: lasting(bound + 500*time.Millisecond), text: "old"}
+	current := &waitingEngine{wait: lasting(0), text: "new"}
+	w.addEngine("1", old.serve)
+	w.name(2)
+	time.AfterFunc(500*time.Millisecond, func() { w.addEngine("2", current.serve) })
+	status, body, _, err := w.call("Call", "c1", "Parts", "opening,c1")
+	is.NoErr(err)
+	is.Equal(status, 200)
+	is.Equal(body, textEvents("new"))
+	time.Sleep(time.Until(w.namedAt.Add(bound)))
+	for i := range 8 {
+		id := fmt.Sprint("d", i)
+		_, body, _, err = w.call("Call", id, "Parts", "opening,"+id)
+		is.NoErr(err)
+		is.Equal(body, textEvents("new"))
+	}
+	begun, dropped := old.counts()
+	is.Equal(len(begun), 0)
+	is.Equal(len(dropped), 1)
+}
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -76,7 +76,11 @@
 // below PreferredWeightsVersion are ranked lower. A version of unknown age counts as named long ago.
 func (sel *backendSelector) setWeights(now time.Time, req *routing.Request) {
 	req.MinWeightsVersion, req.PreferredWeightsVersion, req.WeightsLimits = 0, 0, nil
-	versions := sel.targetHistory.Versions(req.Model)
+	model := req.Model
+	if model == "" {
+		model = sel.router.OnlyModel(req.Service)
+	}
+	versions := sel.targetHistory.Versions(model)
 	for _, known := range versions {
 		switch {
 		case sel.weightsBound <= 0:
--- a/internal/routing/models.go
+++ b/internal/routing/models.go
@@ -47,6 +47,25 @@
 	return s.otherModel
 }
 
+// OnlyModel returns the model of a service's backend servers if each of them holds just that one, and an empty
+// string otherwise. It is the model of requests that name none.
+func (r *Router) OnlyModel(service string) string {
+	p := r.pools[poolKey{service: service}]
+	if p == nil {
+		return ""
+	}
+	model := ""
+	for _, g := range []group{p.ready, p.fallback} {
+		for _, s := range g.servers {
+			if len(s.models) != 1 || model != "" && s.models[0].name != model {
+				return ""
+			}
+			model = s.models[0].name
+		}
+	}
+	return model
+}
+
 // setModels sets the states of the models that a backend server announces now. The states of known are
 // kept for models whose cached state is still usable. startedAt is that of the others.
 func (r *Router) setModels(s *server, known []*modelState, startedAt time.Time) {
