--- a/internal/fleet/rollout_lost_test.go
+++ b/internal/fleet/rollout_lost_test.go
@@ -387,3 +387,53 @@
 		is.Equal(o.Orders, uint64(4))
 	}
 }
+
+// Guards against an engine that stays out of service until another leader is elected: the order to it was refused or
+// lost, and the change that returns it to service was not committed, as after a standstill of the leader.
+func TestEngineIsReturnedToServiceAfterLostProposal(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHarness(t, 4)
+	lost := 0
+	h.loses = func(change *wire.BackendChange) bool {
+		if change.Kind == wire.BackendChange_KIND_LOADED && lost == 0 {
+			lost++
+			return true
+		}
+		return false
+	}
+	for _, e := range h.engines {
+		e.refusal = fault.New(fault.Unavailable, fault.NotRun, "not now")
+	}
+	h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
+	h.run(2 * time.Second)
+	is.Equal(lost, 1)
+	is.Equal(h.outOfService(), 0)
+	for _, e := range h.engines {
+		e.refusal = nil
+	}
+	h.run(15 * time.Second)
+	is.Equal(h.countOutdated(2), 0)
+}
+
+// Guards against an engine that is taken out of service again after its load, by a report that shows the load and is
+// handled late: the leader handles the load reports of a round together, after the slowest engine's.
+func TestLateReportOfAFinishedLoadChangesNothing(t *testing.T) {
+	is := is.New(t)
+	h := newRolloutHarness(t, 1)
+	e := h.engines[0]
+	asked := h.memberByName[e.name].Backend
+	var late *EngineReport
+	for version := uint64(2); version <= 3; version++ {
+		h.targets = []*wire.WeightsTarget{{Model: "m", Version: version}}
+		for begin := h.now; h.countOutdated(version) > 0; h.run(fakeStep) {
+			is.True(h.now.Sub(begin) < 3*time.Second)
+			if e.pendingVersion != 0 {
+				late = e.report()
+			}
+		}
+		is.True(late.Busy)
+		is.Equal(len(h.rollout.ObserveReport(h.now, asked, late, h.targets)), 0)
+	}
+	// Another order is seen.
+	is.Equal(len(h.rollout.ObserveReport(h.now, asked, &EngineReport{Weights: late.Weights, Busy: true, Orders: late.Orders + 1}, h.targets)), 1)
+}
--- a/internal/forward/begin.go
+++ b/internal/forward/begin.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"expvar"
@@ -64,7 +65,7 @@
 
 // checkBegin takes the attempt back if it is time. It is called by the timer.
 func (a *watchedAttempt) checkBegin() {
-	left := a.begin.next() // before mu: the selector's lock is taken
+	left := a.begin.next() // before mu: it takes the lock of the target history
 	a.mu.Lock()
 	if a.ended || a.begin.begun {
 		a.mu.Unlock()
@@ -115,7 +116,7 @@
 // run for long.
 func (c *forwardedCall) beginWatch(d *routing.Decision) *beginTimer {
 	sel := c.f.selector
-	model := c.model()
+	model := cmp.Or(c.model(), d.Model)
 	if sel.weightsBound <= 0 || model == "" || !c.route.GetStream() && d.BeginBy.IsZero() {
 		return nil
 	}
