control: heartbeats that change something are forwarded in batches too

Callers saw: after a start of all, 3,000 backend servers are registered late, and most heartbeats fail.

Cause: a control process that does not lead sent each heartbeat that changes something (a first registration, an update, the return of a suspected server) to the leader as a call of its own. A call over a link costs ten times as much as the change.

Change: such heartbeats are collected too, from 100 a second on, in batches of their own, so that renewals don't wait for a commit. The leader proposes the changes of a batch together, so that they share its syncs and messages, and replies once all are decided; each is a command by itself, and fails by itself. A server that leaves, and an invalid announcement, are never in a batch: an acknowledged drain is committed as before.

Each is a member when it is answered.

--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -122,7 +122,7 @@
 	case *wire.Request_Announce:
 		return s.announce(ctx, call, body.Announce)
 	case *wire.Request_AnnounceBatch:
-		return s.announceBatch(call, body.AnnounceBatch)
+		return s.announceBatch(ctx, call, body.AnnounceBatch)
 	case *wire.Request_PushLoads:
 		if err := call.RequireRole(link.RoleControl); err != nil {
 			return err
@@ -318,11 +318,11 @@
 
 // announceBatch renews the leases of backend servers whose announcements another control
 // process has collected.
-func (s *Service) announceBatch(call *link.Call, batch *wire.AnnounceBatch) error {
+func (s *Service) announceBatch(ctx context.Context, call *link.Call, batch *wire.AnnounceBatch) error {
 	if err := call.RequireRole(link.RoleControl); err != nil {
 		return err
 	}
-	reply, err := s.leader.renewBatch(batch)
+	reply, err := s.leader.announceBatch(ctx, batch)
 	if err != nil {
 		return err
 	}
