membership: a server that joins is not compared with all members

Callers saw: servers that all start at once are registered late.

Change: the table has an index of names by address. It follows from the members and is not replicated.

TestMembersAreFoundByTheirAddress compares the index with the table over 20,000 changes and restarts.

--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -21,6 +21,9 @@
 // never modified afterwards.
 type State struct {
 	members map[string]*wire.Member
+	// atAddress holds the names of the members without an agent by their address, so that a server that
+	// joins is not compared with all others. It follows from members and is not replicated.
+	atAddress map[string][]string
 	// drained holds the names drained by operators. They stay drained when leases
 	// expire and incarnations change.
 	drained nameSet
@@ -33,7 +36,7 @@
 
 // NewState returns an empty table.
 func NewState() *State {
-	return &State{members: map[string]*wire.Member{}}
+	return &State{members: map[string]*wire.Member{}, atAddress: map[string][]string{}}
 }
 
 // Outcome is the effect of one change.
@@ -119,7 +122,7 @@
 		return refused(problem)
 	}
 	for _, other := range displaced {
-		delete(s.members, other)
+		s.deleteMember(other)
 	}
 	state := wire.BackendState_BACKEND_STATE_READY
 	if old.GetState() == wire.BackendState_BACKEND_STATE_DAMPED {
@@ -145,12 +148,11 @@
 	if backend.GetAddress() == "" {
 		return nil, ""
 	}
-	for name, member := range s.members {
-		other := member.GetBackend()
-		if name == backend.GetName() || other.GetAddress() != backend.GetAddress() {
+	for _, name := range s.atAddress[backend.GetAddress()] {
+		if name == backend.GetName() {
 			continue
 		}
-		if other.GetAgentIncarnation() > backend.GetAgentIncarnation() {
+		if s.members[name].GetBackend().GetAgentIncarnation() > backend.GetAgentIncarnation() {
 			return nil, fmt.Sprintf("address %s belongs to %q, which started later", backend.GetAddress(), name)
 		}
 		names = append(names, name)
@@ -276,16 +278,42 @@
 }
 
 func (s *State) put(member *wire.Member) Outcome {
-	s.members[member.GetBackend().GetName()] = member
+	s.setMember(member)
 	return Outcome{Result: &wire.BackendResult{Accepted: true, Changed: true}, Member: member}
 }
 
 func (s *State) remove(member *wire.Member) Outcome {
 	name := member.GetBackend().GetName()
-	delete(s.members, name)
+	s.deleteMember(name)
 	return Outcome{Result: &wire.BackendResult{Accepted: true, Changed: true}, Removed: name}
 }
 
+// setMember adds a member, or replaces the one of its name.
+func (s *State) setMember(member *wire.Member) {
+	name, address := member.GetBackend().GetName(), member.GetBackend().GetAddress()
+	if old := s.members[name]; old != nil && old.GetBackend().GetAddress() != address {
+		s.deleteMember(name)
+	}
+	s.members[name] = member
+	if address == "" {
+		return // has an agent
+	}
+	if !slices.Contains(s.atAddress[address], name) {
+		s.atAddress[address] = append(s.atAddress[address], name)
+	}
+}
+
+func (s *State) deleteMember(name string) {
+	address := s.members[name].GetBackend().GetAddress()
+	delete(s.members, name)
+	others := slices.DeleteFunc(s.atAddress[address], func(other string) bool { return other == name })
+	if len(others) == 0 {
+		delete(s.atAddress, address)
+	} else {
+		s.atAddress[address] = others
+	}
+}
+
 // Member returns the member called name, or nil.
 func (s *State) Member(name string) *wire.Member { return s.members[name] }
 
@@ -313,9 +341,9 @@
 // Restore replaces the table with the values that Members, Drained, Retired and
 // Departed returned earlier.
 func (s *State) Restore(members []*wire.Member, drained, retired []string, departed []*wire.DepartedBackend) {
-	s.members = make(map[string]*wire.Member, len(members))
+	s.members, s.atAddress = make(map[string]*wire.Member, len(members)), make(map[string][]string, len(members))
 	for _, member := range members {
-		s.members[member.GetBackend().GetName()] = member
+		s.setMember(member)
 	}
 	s.drained = newNameSet(drained)
 	s.retired = newNameSet(retired)
