control: heartbeats whose senders have given up are not forwarded

Callers saw: a control process that is late forwards heartbeats that nobody waits for any more, so that those of others are late too.

Cause: a batch was sent with all announcements that had been collected for it.

Change: those whose call has ended by then are left out, and a batch of none is not sent. Sent by itself, such a heartbeat was dropped before: the proposal queue and the links look at the call's end.

Evidence: TestEachServerGetsItsOwnResult required that a batch with nothing but a call that was given up is sent; it now requires that a batch holds the others only, and that an empty one is not sent. Before, the announcement was in it.

--- a/internal/control/announcebatch.go
+++ b/internal/control/announcebatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"expvar"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,7 +42,8 @@
 )
 
 // announceCounts counts the forwarded announcements: batched, of these changes, alone, those of a
-// batch that the leader wants otherwise (repeated), and the batches.
+// batch that the leader wants otherwise (repeated), those whose senders gave up before they were sent
+// (given_up), and the batches.
 var announceCounts = expvar.NewMap("control_announcements")
 
 // changesNothing reports whether an announcement only renews the lease of a member in the
@@ -83,6 +85,8 @@
 
 // batchEntry is an announcement that waits for its result.
 type batchEntry struct {
+	// ctx ends when the sender gives up.
+	ctx      context.Context
 	announce *wire.Announce
 	// done receives the result: nil, or the error of the call or of the announcement.
 	done chan error
@@ -150,7 +154,7 @@
 // collect sends an announcement in a batch and returns its result. It does nothing, and reports that, if
 // announcements are too few to wait for others.
 func (b *announceBatcher) collect(ctx context.Context, announce *wire.Announce, c *collector) (result error, sent bool) {
-	entry := b.add(announce, c)
+	entry := b.add(ctx, announce, c)
 	if entry == nil {
 		return nil, false
 	}
@@ -164,7 +168,7 @@
 
 // add adds an announcement to the batch that is collected. It returns nil if announcements
 // are too few to wait for others.
-func (b *announceBatcher) add(announce *wire.Announce, c *collector) *batchEntry {
+func (b *announceBatcher) add(ctx context.Context, announce *wire.Announce, c *collector) *batchEntry {
 	limit := maxBatchAnnounces
 	if c == &b.changes {
 		limit = maxBatchChanges
@@ -174,7 +178,7 @@
 	if !c.rate.add(time.Now()) && len(c.waiting) == 0 {
 		return nil
 	}
-	entry := &batchEntry{announce: announce, done: make(chan error, 1)}
+	entry := &batchEntry{ctx: ctx, announce: announce, done: make(chan error, 1)}
 	c.waiting = append(c.waiting, entry)
 	c.size += proto.Size(announce)
 	switch {
@@ -204,8 +208,15 @@
 }
 
 // deliver sends a batch and passes each entry its result. An error of the whole call is the
-// result of all: the backend servers announce themselves again soon.
+// result of all: the backend servers announce themselves again soon. Announcements whose senders have
+// given up are not sent: these have called another VM.
 func (b *announceBatcher) deliver(entries []*batchEntry, changes bool) {
+	waiting := len(entries)
+	entries = slices.DeleteFunc(entries, func(e *batchEntry) bool { return e.ctx.Err() != nil })
+	announceCounts.Add("given_up", int64(waiting-len(entries)))
+	if len(entries) == 0 {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), batchTimeout)
 	defer cancel()
 	announceCounts.Add("batches", 1)
--- a/internal/control/announcebatch_test.go
+++ b/internal/control/announcebatch_test.go
@@ -301,14 +301,20 @@
 			is.NoErr(err)
 		}
 		is.Equal(sent.alone, 1+servers)
-		// A server that gives up does not keep its batch from being sent.
+		// A server that gives up does not keep its batch from being sent, and is not in it.
 		sent.fail = nil
+		before := sent.batched
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
 		is.True(fault.Is(b.forward(ctx, &wire.Announce{Backend: plainServer(1)}), fault.DeadlineExceeded))
-		time.Sleep(batchDelay)
+		is.NoErr(b.forward(t.Context(), &wire.Announce{Backend: plainServer(2)}))
 		synctest.Wait()
 		is.Equal(sent.batches, 7)
+		is.Equal(sent.batched, before+1)
+		is.True(fault.Is(b.forward(ctx, &wire.Announce{Backend: plainServer(1)}), fault.DeadlineExceeded))
+		time.Sleep(batchDelay)
+		synctest.Wait()
+		is.Equal(sent.batches, 7) // nothing is left to send
 	})
 }
 
