--- a/internal/event/control.go
+++ b/internal/event/control.go
@@ -257,6 +257,12 @@
 	log.WithFields(log.Fields{"shed": shed, "behind_ms": behind.Milliseconds()}).Warn("heartbeats shed")
 }
 
+// HeartbeatsFailed logs how many heartbeats of backend servers were refused since the last such line
+// because no leader has decided about them, with the error of the newest one.
+func HeartbeatsFailed(failed int, kind string, err error) {
+	log.WithFields(log.Fields{"failed": failed, "kind": kind, "error": errorText(err)}).Warn("heartbeats not passed on")
+}
+
 // maxForeignText limits the parts of an invalid message that are logged.
 const maxForeignText = 160
 
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -121,7 +121,7 @@
 	"EngineSpeedChanged": event.EngineSpeedChanged, "LoadReportsMissing": event.LoadReportsMissing, "PreLoadReportMissing": event.PreLoadReportMissing, "LoadDigestRefused": event.LoadDigestRefused,
 	"CacheEventsUnreachable": event.CacheEventsUnreachable, "WeightsLoading": event.WeightsLoading, "OrderRefused": event.OrderRefused,
 	"WeightsTargetSet": event.WeightsTargetSet, "RouteTableAcknowledged": event.RouteTableAcknowledged, "RouteTableRefused": event.RouteTableRefused,
-	"ControlCallFailed": event.ControlCallFailed, "HeartbeatsShed": event.HeartbeatsShed, "HeartbeatsRefused": event.HeartbeatsRefused, "ControlResponseUndelivered": event.ControlResponseUndelivered,
+	"ControlCallFailed": event.ControlCallFailed, "HeartbeatsShed": event.HeartbeatsShed, "HeartbeatsFailed": event.HeartbeatsFailed, "HeartbeatsRefused": event.HeartbeatsRefused, "ControlResponseUndelivered": event.ControlResponseUndelivered,
 	"OperatorRequestFailed": event.OperatorRequestFailed, "OperatorKeyUnknown": event.OperatorKeyUnknown, "ConfigChangeDecided": event.ConfigChangeDecided,
 	"BackendChangeDecided": event.BackendChangeDecided, "Bootstrapped": event.Bootstrapped, "ReplicaRemoved": event.ReplicaRemoved,
 }
