--- a/internal/control/announcebatch.go
+++ b/internal/control/announcebatch.go
@@ -28,7 +28,7 @@
 	// maxBatchAnnounces bounds a batch to about 50 kB.
 	maxBatchAnnounces = 256
 	// maxBatchChanges bounds a batch of announcements that change something, so that it delays other
-	// commands little: 64 servers that join take 10 ms, with their commit (BenchmarkJoinBatch).
+	// commands little: 64 servers that join take 3 ms, with their commit (BenchmarkJoinBatch).
 	maxBatchChanges = 64
 	// maxBatchSize is the size in bytes of the announcements from which on a batch takes no more. One
 	// has 100 to 200 bytes usually, and 64 KiB at most.
