--- a/internal/control/eventpace_test.go
+++ b/internal/control/eventpace_test.go
@@ -110,9 +110,11 @@
 				time.Sleep(test.within)
 				tracker.follow(t.Context(), nil)
 				time.Sleep(time.Second) // batches that are being read
+				s.mu.Lock()
 				for _, source := range sources {
 					is.Equal(s.position[source], uint64(4000)) // all read
 				}
+				s.mu.Unlock()
 				most := s.mostBusy(250 * time.Millisecond)
 				t.Logf("most busy for %.2f of 250 ms", most)
 				is.True(most <= 0.25) // a third of an election timeout: three quarters are left for the quorum
