forward: a call that is taken back uses a retry only if an engine can take it

Callers of other services' or later calls missed a retry: each attempt that was taken back for old weights withdrew one from the shared budget, also where the weights of all engines were too old, so that its call ended with 502 all the same. Found by the review, by reading.

The retry is withdrawn only if an engine passes the limits of the call.

--- a/internal/forward/begin.go
+++ b/internal/forward/begin.go
@@ -140,7 +140,7 @@
 	c.outcomes = append(c.outcomes, c.backend+":taken_back")
 	countAttempt(c.backend, "taken_back")
 	c.logFailure(d, "taken_back", fail.err)
-	step := c.Next(now, fail.outcome, func() bool { return c.f.selector.tryRetry(c.service) })
+	step := c.Next(now, fail.outcome, func() bool { return c.f.selector.tryRetryInTime(c.service, c.routingRequest(1)) })
 	switch {
 	case step.Retry:
 		weightsLimits.Add("retried", 1)
--- a/internal/forward/begin_test.go
+++ b/internal/forward/begin_test.go
@@ -168,6 +168,39 @@
 	}
 }
 
+// Guards against retries that are used up for calls which no engine can take, and are missing for others.
+func TestCallThatNoEngineCanTakeUsesNoRetry(t *testing.T) {
+	const bound = time.Second
+	for name, test := range map[string]struct {
+		newest  string
+		retries int
+		status  int
+	}{
+		"all engines on old weights": {"1", 0, 502},
+		"one on new weights":         {"2", 1, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWeightsFixture(t, bound, setResumableStream, nil)
+			old := &waitingEngine{wait: lasting(2 * bound), text: "old"}
+			other := &waitingEngine{wait: lasting(0), text: "new"}
+			w.addEngine("1", old.serve)
+			w.name(2)
+			time.AfterFunc(bound/4, func() { w.addEngine(test.newest, other.serve) })
+			status, _, _, err := w.callModel("c1")
+			is.NoErr(err)
+			is.Equal(status, test.status)
+			w.f.selector.mu.Lock()
+			defer w.f.selector.mu.Unlock()
+			retries := 0
+			for _, n := range w.f.selector.budgetFor("lab").retries {
+				retries += n
+			}
+			is.Equal(retries, test.retries)
+		})
+	}
+}
+
 // Guards against an answer that is delivered and taken back at once, so that its caller gets parts of two answers,
 // or none: first events arrive within milliseconds of the time at which calls are taken back.
 func TestFirstEventRightAtTheBound(t *testing.T) {
--- a/internal/forward/selector.go
+++ b/internal/forward/selector.go
@@ -233,6 +233,15 @@
 	return sel.budgetFor(service).tryWithdraw(now, sel.router.RequestShare())
 }
 
+// tryRetryInTime does the same as tryRetry, unless the weights of all engines are too old for the request.
+func (sel *backendSelector) tryRetryInTime(service string, req *routing.Request) bool {
+	sel.mu.Lock()
+	defer sel.mu.Unlock()
+	now := sel.clock()
+	sel.setWeights(now, req)
+	return !sel.router.WeightsTooOld(now, req) && sel.budgetFor(service).tryWithdraw(now, sel.router.RequestShare())
+}
+
 // takeRetry reports whether a backend server could be selected for another attempt of a call, and if
 // so counts a retry, unless the budget of the service is used up.
 func (sel *backendSelector) takeRetry(service string, req *routing.Request) bool {
--- a/internal/routing/weights.go
+++ b/internal/routing/weights.go
@@ -135,6 +135,25 @@
 	return nil
 }
 
+// WeightsTooOld reports whether Choose would fail with ErrWeightsOutdated. It changes nothing.
+func (r *Router) WeightsTooOld(now time.Time, req *Request) bool {
+	p := r.poolOf(req)
+	if p == nil {
+		return false
+	}
+	pr := newPrompt(req)
+	checked := *req
+	checked.check, checked.lastResort = newBeginCheck(now, p, &pr), true
+	for _, g := range []group{p.ready, p.fallback} {
+		for _, s := range g.servers {
+			if s.eligible(now, &checked) && r.beginsInTime(now, s, &checked) {
+				return false
+			}
+		}
+	}
+	return r.noneInTime(now, p, req) != nil
+}
+
 // MayBeSent reports whether the attempt is still expected to begin by BeginBy if it is sent now.
 func (d *Decision) MayBeSent(now time.Time) bool {
 	return d.BeginBy.IsZero() || !now.Add(TakeBackMargin+d.timeToBegin).After(d.BeginBy)
