fleet, control: rollouts grow by the bound for outdated weights

The leader was frozen; the next one kept the age of the name, as it should, and took half of 54 engines out of service at once, and again for each of three further names. The share grew as on deployments whose calls must begin on new weights within 8 s; here they have 15 s, and the store serves ten loads at full speed, so that more loads at once were not sooner done. Before, each election forgot the age and so hid it.

Nothing changes where the bound is 8 s. TestShareFollowsTheBound can't be built on the code before, whose growth gives 28 of 54 engines where it wants 17.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -170,7 +170,7 @@
 	l.leases = membership.NewLeases(l.options.Leases, now)
 	l.planner = fleet.NewPlanner(term, now, consensus.DefaultElectionTimeout)
 	if l.rollout == nil || l.rolloutTerm != term {
-		l.rollout, l.rolloutTerm = fleet.NewRollout(term, steady.Now(), l.options.PreviousOrderLease, l.machine.Log().Targets()), term
+		l.rollout, l.rolloutTerm = fleet.NewRollout(term, steady.Now(), l.options.PreviousOrderLease, l.options.WeightsBound, l.machine.Log().Targets()), term
 	}
 	l.permits = permit.NewAllocator()
 	recentTerms = l.quotas.startTerm(term, recentTerms)
--- a/internal/control/service.go
+++ b/internal/control/service.go
@@ -47,6 +47,9 @@
 	// PreviousOrderLease is the time after an election during which the previous leader
 	// may still issue orders to engines without an agent.
 	PreviousOrderLease time.Duration
+	// WeightsBound is the time within which calls must have begun on new weights, by which the
+	// rollout of engines without an agent paces itself. 0 selects fleet.DefaultWeightsBound.
+	WeightsBound time.Duration
 	// Quotas is what requests of client accounts may use beyond their quotas. The zero value
 	// selects the default of package quota.
 	Quotas quota.Tolerance
--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -59,13 +59,18 @@
 // half of these engines load while the other half finish their requests.
 const initialRolloutShare = 0.25
 
-// Once an engine has been outdated for longer than shareGrowthDelay, the share grows
-// by shareGrowthPerSecond for each further second, up to maxRolloutShare: by then,
-// answers from outdated weights do more harm than missing engines.
+// DefaultWeightsBound is the time within which calls must have begun on new weights, if none is set.
+const DefaultWeightsBound = 8 * time.Second
+
+// Once an engine has been outdated for longer than shareGrowthDelay, a part of the bound
+// for outdated weights, the share grows by shareGrowth for each further time of the length
+// of the bound, up to maxRolloutShare: by the bound, answers from outdated weights do more
+// harm than missing engines. With a longer bound there is more time, and a store that
+// serves few loads at full speed gains nothing from more loads at once.
 const (
-	shareGrowthDelay     = 1500 * time.Millisecond
-	shareGrowthPerSecond = 0.09
-	maxRolloutShare      = 0.75
+	shareGrowthDelay = 0.1875
+	shareGrowth      = 0.72
+	maxRolloutShare  = 0.75
 )
 
 // inDoubtShare is the share of the engines by which those whose order is in doubt may
@@ -74,9 +79,11 @@
 const inDoubtShare = 0.5
 
 // maxOutOfService returns how many of the given number of engines may be out of service
-// at the same time, if the longest outdated one has been outdated for the given time.
-func maxOutOfService(engines int, outdated time.Duration) int {
-	share := initialRolloutShare + shareGrowthPerSecond*max(0, (outdated-shareGrowthDelay).Seconds())
+// at the same time, if the longest outdated one has been outdated for the given time. bound
+// is the time within which calls must have begun on new weights.
+func maxOutOfService(engines int, outdated, bound time.Duration) int {
+	elapsed := outdated.Seconds() / bound.Seconds()
+	share := initialRolloutShare + shareGrowth*max(0, elapsed-shareGrowthDelay)
 	return max(1, int(min(share, maxRolloutShare)*float64(engines)))
 }
 
@@ -196,8 +203,10 @@
 	finished map[string]finishedLoad
 	// slowestAnswer is the longest time that an engine took to answer an order.
 	slowestAnswer time.Duration
-	// history tells for how long engines have been outdated.
+	// history tells for how long engines have been outdated, and bound is the time within
+	// which calls must have begun on new weights.
 	history *TargetHistory
+	bound   time.Duration
 }
 
 // orderOutcome tells whether an engine has answered an order.
@@ -217,9 +226,13 @@
 // NewRollout returns the rollout for the leader of term. It issues no order until
 // previousLease has passed, because the previous leader may still issue orders during
 // its lease. All times passed to the rollout must be of the clock of history, which tells when the
-// targets were named.
-func NewRollout(term uint64, now time.Time, previousLease time.Duration, history *TargetHistory) *Rollout {
-	return &Rollout{term: term, start: now.Add(previousLease), loads: map[string]*load{}, retryAt: map[string]time.Time{},
+// targets were named. bound is the time within which calls must have begun on new weights; 0
+// selects DefaultWeightsBound.
+func NewRollout(term uint64, now time.Time, previousLease, bound time.Duration, history *TargetHistory) *Rollout {
+	if bound <= 0 {
+		bound = DefaultWeightsBound
+	}
+	return &Rollout{bound: bound, term: term, start: now.Add(previousLease), loads: map[string]*load{}, retryAt: map[string]time.Time{},
 		outcomes: map[string]orderOutcome{}, finished: map[string]finishedLoad{}, history: history}
 }
 
@@ -239,7 +252,7 @@
 	}
 	waiting, retries := r.candidates(now, members, targets), r.inDoubt(members, targets)
 	engines := countEngines(members)
-	limit := maxOutOfService(engines, r.longestOutdated(now, slices.Concat(waiting, retries), targets))
+	limit := maxOutOfService(engines, r.longestOutdated(now, slices.Concat(waiting, retries), targets), r.bound)
 	maxLoads := limit + int(inDoubtShare*float64(engines))
 	free := limit - r.countLoads()
 	// Engines that have no order yet come first: one more order to an engine that may
--- a/internal/fleet/rollout_lost_test.go
+++ b/internal/fleet/rollout_lost_test.go
@@ -163,7 +163,7 @@
 							late += n
 						}
 						// An order that is carried out late takes an engine out of service beside the share.
-						is.True(h.outOfService() <= maxOutOfService(engines, h.now.Sub(begin))+late)
+						is.True(h.outOfService() <= maxOutOfService(engines, h.now.Sub(begin), DefaultWeightsBound)+late)
 					}
 					f := h.rollOut(2)
 					all = append(all, f)
@@ -262,7 +262,7 @@
 		h := newLossyHarness(t, 18, seed, 0.97)
 		h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
 		h.run(4 * time.Second)
-		h.rollout = NewRollout(8, h.now, 3*time.Second, h.history)
+		h.rollout = NewRollout(8, h.now, 3*time.Second, 0, h.history)
 		for _, e := range h.engines {
 			for _, d := range e.delayed {
 				is.Equal(d.order.Fencing, uint64(7))
@@ -344,7 +344,7 @@
 	member := &wire.Member{Backend: b, State: wire.BackendState_BACKEND_STATE_READY}
 	targets := []*wire.WeightsTarget{{Model: "a", Version: 2}, {Model: "b", Version: 5}}
 	report := &EngineReport{Weights: map[string]uint64{"a": 1, "b": 4}, Orders: 3}
-	r := NewRollout(7, now, 0, NewTargetHistory())
+	r := NewRollout(7, now, 0, 0, NewTargetHistory())
 	var orders []*LoadOrder
 	var perform func(actions []RolloutAction)
 	perform = func(actions []RolloutAction) {
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -113,7 +113,7 @@
 
 func newRolloutHarness(t *testing.T, engines int) *rolloutHarness {
 	h := &rolloutHarness{t: t, now: time.Unix(1000, 0), memberByName: map[string]*wire.Member{}, history: NewTargetHistory(), minDelay: 2 * time.Second, maxDelay: 12 * time.Second}
-	h.rollout = NewRollout(7, h.now, 0, h.history)
+	h.rollout = NewRollout(7, h.now, 0, 0, h.history)
 	for i := range engines {
 		e := &fakeEngine{name: fmt.Sprintf("e%02d", i), version: 1, state: wire.BackendState_BACKEND_STATE_READY}
 		h.engines = append(h.engines, e)
@@ -396,7 +396,7 @@
 func TestNewLeaderResumesLoadingEngines(t *testing.T) {
 	is := is.New(t)
 	h := newRolloutHarness(t, 6)
-	h.rollout = NewRollout(8, h.now, 3*time.Second, h.history)
+	h.rollout = NewRollout(8, h.now, 3*time.Second, 0, h.history)
 	h.memberByName["e02"].State = wire.BackendState_BACKEND_STATE_LOADING
 	h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
 	h.run(2900 * time.Millisecond)
@@ -411,7 +411,7 @@
 // share: it goes on with the share of the name's age, and takes the largest one if it can't learn that age.
 func TestNewLeaderKeepsAgeOfRollout(t *testing.T) {
 	const engines = 40
-	largest := maxOutOfService(engines, time.Hour)
+	largest := maxOutOfService(engines, time.Hour, DefaultWeightsBound)
 	for _, tt := range []struct {
 		name string
 		// history returns that of the process that leads now.
@@ -419,12 +419,12 @@
 		share   func(age time.Duration) int
 	}{
 		{"elected", func(before *TargetHistory, _ time.Time) *TargetHistory { return before },
-			func(age time.Duration) int { return maxOutOfService(engines, age) }},
+			func(age time.Duration) int { return maxOutOfService(engines, age, DefaultWeightsBound) }},
 		{"restarted and told", func(before *TargetHistory, now time.Time) *TargetHistory {
 			h := NewTargetHistory()
 			h.Merge(now, before.Ages(now))
 			return h
-		}, func(age time.Duration) int { return maxOutOfService(engines, age) }},
+		}, func(age time.Duration) int { return maxOutOfService(engines, age, DefaultWeightsBound) }},
 		{"restarted and not told", func(*TargetHistory, time.Time) *TargetHistory { return NewTargetHistory() },
 			func(time.Duration) int { return largest }},
 	} {
@@ -438,20 +438,40 @@
 			h.targets = target(2)
 			h.history = tt.history(before, h.now)
 			h.history.Record(time.Time{}, h.targets) // the log is applied before any view is confirmed
-			h.rollout = NewRollout(8, h.now, 0, h.history)
+			h.rollout = NewRollout(8, h.now, 0, 0, h.history)
 			h.run(50 * time.Millisecond) // one plan
 			is.Equal(h.maxOutOfService, tt.share(5*time.Second))
-			is.True(h.maxOutOfService > maxOutOfService(engines, 0))
+			is.True(h.maxOutOfService > maxOutOfService(engines, 0, DefaultWeightsBound))
 		})
 	}
 }
 
+// Guards against a rollout that takes engines out of service as if the bound were short: a new leader, whose rollout
+// keeps the age of the name, began with half of the engines where calls had 15 s to begin on new weights.
+func TestShareFollowsTheBound(t *testing.T) {
+	is := is.New(t)
+	const engines, age = 54, 4500 * time.Millisecond
+	is.Equal(maxOutOfService(engines, age, DefaultWeightsBound), 28)
+	is.Equal(maxOutOfService(engines, age, 15*time.Second), 17)
+	for _, bound := range []time.Duration{time.Second, 10 * time.Second, time.Minute} {
+		is.Equal(maxOutOfService(engines, bound, bound), 40) // three quarters by the bound, whatever it is
+	}
+	h := newRolloutHarness(t, engines)
+	h.history.Record(h.now, []*wire.WeightsTarget{{Model: "m", Version: 1}})
+	h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
+	h.history.Record(h.now, h.targets)
+	h.now = h.now.Add(age)
+	h.rollout = NewRollout(8, h.now, 0, 15*time.Second, h.history)
+	h.run(50 * time.Millisecond) // one plan
+	is.Equal(h.outOfService(), 17)
+}
+
 // A load that a new leader sees to end without new weights must not lead to an order
 // before the previous leader's lease has passed: two leaders would take turns.
 func TestNewLeaderOrdersNothingWithinThePreviousLease(t *testing.T) {
 	is := is.New(t)
 	h := newRolloutHarness(t, 2)
-	h.rollout = NewRollout(8, h.now, 3*time.Second, h.history)
+	h.rollout = NewRollout(8, h.now, 3*time.Second, 0, h.history)
 	h.observe = true
 	h.targets = []*wire.WeightsTarget{{Model: "m", Version: 2}}
 	e := h.engines[0]
