fleet: orders that an engine has voided do not delay the next one

Cause: an engine carries out a late order for an older version, which voids all orders that are under way for newer ones. Where the view has its weights by a heartbeat before the leader sees the load, the load is not ended, and the next order waits as long as after the fifth or sixth failure: by the trace the engine i-2f879d6ce4 loaded at 33.3 s and got orders at 34.4, 36.9 and 40.6 s.

Now the delays begin anew once a report shows more accepted orders than the last order expected. TestOrdersFollowFastOnceAnEarlierOneWasCarriedOut fails before with heartbeats and passes with them after.

--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -539,6 +539,7 @@
 		return nil
 	}
 	l.lastProgress = now
+	l.forgetVoidOrders(now, report)
 	if report.Busy {
 		l.startLoading(now, report.Orders)
 		l.nextStep = now.Add(loadPollInterval)
@@ -601,6 +602,9 @@
 	if l != nil && l.order != nil && report.Orders <= l.orders {
 		return nil // the last order has not been carried out yet
 	}
+	if l != nil {
+		l.forgetVoidOrders(now, report)
+	}
 	if report.Busy {
 		if l == nil {
 			l = &load{incarnation: b.GetAgentIncarnation()}
@@ -660,6 +664,18 @@
 	return r.takeOutOfService(l, b)
 }
 
+// forgetVoidOrders lets the engine get its next order at once if it has accepted one since the last that was sent:
+// that one, and those before it, will not be carried out any more, and nothing is known of how the next will fare.
+func (l *load) forgetVoidOrders(now time.Time, report *EngineReport) {
+	if l.order == nil || report.Orders <= l.order.Orders {
+		return
+	}
+	l.failures = 0
+	if l.phase == inDoubt {
+		l.nextStep = now
+	}
+}
+
 // startLoading records that the engine loads and that it has accepted the given number
 // of orders by then.
 func (l *load) startLoading(now time.Time, orders uint64) {
--- a/internal/fleet/rollout_test.go
+++ b/internal/fleet/rollout_test.go
@@ -99,6 +99,9 @@
 	check func()
 	// loses, if set, reports whether a proposed change is not committed.
 	loses func(*wire.BackendChange) bool
+	// heartbeatInterval is the time between two heartbeats of an engine, with which the view gets
+	// its weights; 0 means that there are none.
+	heartbeatInterval time.Duration
 }
 
 const (
@@ -143,6 +146,7 @@
 func (h *rolloutHarness) run(d time.Duration) {
 	for end := h.now.Add(d); h.now.Before(end); h.now = h.now.Add(fakeStep) {
 		h.stepEngines()
+		h.sendHeartbeats()
 		h.deliverReplies()
 		if h.observe && h.now.UnixMilli()%fakeInterval.Milliseconds() == 0 {
 			for _, e := range h.engines {
@@ -158,6 +162,21 @@
 	}
 }
 
+// sendHeartbeats sends the heartbeats that are due, each engine's at a time of its own.
+func (h *rolloutHarness) sendHeartbeats() {
+	if h.heartbeatInterval == 0 {
+		return
+	}
+	for i, e := range h.engines {
+		offset := h.heartbeatInterval * time.Duration(i) / time.Duration(len(h.engines))
+		if h.now.Add(offset).UnixMilli()%h.heartbeatInterval.Milliseconds() >= fakeStep.Milliseconds() {
+			continue
+		}
+		m := h.memberByName[e.name]
+		h.memberByName[e.name] = &wire.Member{Backend: e.backend(), State: m.State}
+	}
+}
+
 // outOfService returns the number of engines that the leader has taken out of service.
 func (h *rolloutHarness) outOfService() int {
 	n := 0
