--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -448,6 +448,7 @@
 		server:         c.server,
 		pool:           p,
 		urgency:        req.Urgency,
+		streamed:       req.Streamed,
 		scope:          pr.scope,
 		levels:         pr.levels,
 		evidence:       c.evidence,
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -97,7 +97,11 @@
 		return
 	}
 	d.succeeded()
-	d.pool.meanDuration += durationWeight * (now.Sub(d.started).Seconds() - d.pool.meanDuration)
+	duration := now.Sub(d.started).Seconds()
+	d.pool.meanDuration += durationWeight * (duration - d.pool.meanDuration)
+	if !d.streamed {
+		d.pool.meanUnstreamed += durationWeight * (duration - d.pool.meanUnstreamed)
+	}
 	if end == nil {
 		return
 	}
--- a/internal/routing/pool.go
+++ b/internal/routing/pool.go
@@ -45,6 +45,8 @@
 	// meanDuration is the moving mean of the duration of a request at a backend
 	// server, in seconds.
 	meanDuration float64
+	// meanUnstreamed is that of requests whose response is no stream.
+	meanUnstreamed float64
 	// meanWork is the mean prefill work of the requests sent to the engines.
 	meanWork meanWork
 }
@@ -187,7 +189,7 @@
 	if p == nil {
 		p = previous[key]
 		if p == nil {
-			p = &pool{rate: defaultPrefillRate, meanSpeedRatio: 1, meanDuration: defaultMeanDuration}
+			p = &pool{rate: defaultPrefillRate, meanSpeedRatio: 1, meanDuration: defaultMeanDuration, meanUnstreamed: defaultMeanDuration}
 		}
 		r.pools[key] = p
 	}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -276,8 +276,9 @@
 	// model is the state of the request's model at server.
 	model *modelState
 	pool  *pool
-	// urgency is the Urgency of the request.
-	urgency uint32
+	// urgency and streamed are the Urgency and Streamed of the request.
+	urgency  uint32
+	streamed bool
 	// scope is the prefix.Scope.Seed of the request.
 	scope  uint64
 	levels []*wire.PrefixLevel
--- a/internal/routing/weights_test.go
+++ b/internal/routing/weights_test.go
@@ -200,6 +200,37 @@
 	is.True(errors.Is(err, ErrWeightsOutdated))
 }
 
+// Guards against short calls that are refused for all of the time until the bound, although engines with outdated
+// weights are free: the duration of long streams for the same model counted as theirs.
+func TestLongStreamsLeaveOutdatedEnginesToShortCalls(t *testing.T) {
+	is := is.New(t)
+	now := start
+	r := New("a", 1)
+	r.SetBackends(now, directMembers(1))
+	for i := range 200 {
+		req := directRequest(1, 200, 600)
+		req.Streamed = i%2 == 0
+		d, err := r.Choose(now, req)
+		is.NoErr(err)
+		r.Started(now, d)
+		duration := 100 * time.Millisecond
+		if req.Streamed {
+			duration = 3500 * time.Millisecond
+		}
+		now = now.Add(duration)
+		r.Finished(now, d, nil)
+	}
+	req := limitedRequest(now, 4*time.Second)
+	req.Streamed, req.LastAttempt = false, true
+	_, err := r.Choose(now, req)
+	is.NoErr(err)
+	// A long call that shows its beginning only with its end is not sent shortly before the bound.
+	req = limitedRequest(now, 500*time.Millisecond)
+	req.Streamed, req.LastAttempt = false, true
+	_, err = r.Choose(now, req)
+	is.True(errors.Is(err, ErrWeightsOutdated))
+}
+
 // Guards against a request that is turned away as if there were no servers, without a time to come back, once all
 // have older weights than it requires.
 func TestAllBelowRequiredVersion(t *testing.T) {
