--- a/internal/fleet/rollout.go
+++ b/internal/fleet/rollout.go
@@ -665,8 +665,8 @@
 	return r.takeOutOfService(l, b)
 }
 
-// forgetVoidOrders lets the engine get its next order at once if it has accepted one since the last that was sent:
-// that one, and those before it, will not be carried out any more, and nothing is known of how the next will fare.
+// forgetVoidOrders begins the delays between orders anew if a report shows that the engine has accepted an order since
+// it got the last one. All orders that it has not answered are void then: they expect fewer accepted orders.
 func (l *load) forgetVoidOrders(now time.Time, report *EngineReport) {
 	if l.order == nil || report.Orders <= l.order.Orders {
 		return
--- a/internal/routing/weights.go
+++ b/internal/routing/weights.go
@@ -23,8 +23,8 @@
 	// predictions were at least 0.5 s and at most 2.4 s too low; both values were chosen, not measured.
 	lastAttemptFactor = 4.0
 	lastAttemptError  = time.Second
-	// lastAttemptDurations is the multiple of the mean duration of requests whose response is no stream that must be
-	// left beside that for one of them; others need one. A longer one that runs is taken back.
+	// lastAttemptDurations is how many mean durations must be left beside that if the response is no stream; one is
+	// enough if another attempt may follow. The mean is that of such requests. One that runs for longer is taken back.
 	lastAttemptDurations = 2.0
 	// outdatedRetryAfter is the time after which a request may come back that no engine can begin in time. It
 	// can run once an engine has loaded the new weights. Rollouts take further engines each second; sooner,
