permit: a limit that routers know from an earlier leader only reaches the next one

Callers saw a service refuse everything for 17 s, until all processes were restarted: "all backend servers limit their requests, and there is no room for 8.8s".

Cause: the leader and all routers had restarted within 1.4 s. The next leader knew no limit and granted nothing; it said so, but routers told it only what they had heard themselves. Nobody sends a request without a permit, so nobody hears anything either, for good.

Now a router tells the leader the newest statement that it has, with its age, if the leader says that it knows none. If the limit has ended since, the first response says so.

TestLimitFromAnEarlierLeaderGetsPermits: 0 requests in 10 s before, 18 after (2 a second are allowed).

--- a/internal/permit/holder.go
+++ b/internal/permit/holder.go
@@ -62,6 +62,8 @@
 	// reported is what the leader was told last, and reportedAt when.
 	reported   float64
 	reportedAt time.Time
+	// unknown is set once the leader has said that it knows no limit of the server.
+	unknown bool
 	// batches holds the permits.
 	batches []batch
 	// demands holds what this router wants, by urgency.
@@ -295,9 +297,13 @@
 			req.Demands = append(req.Demands, d)
 			s.returned, s.asked = 0, len(d.Wanted) > 0
 		}
-		if !s.heard.at.IsZero() && (s.reported != s.heard.perSecond || now.Sub(s.reportedAt) >= repeatTime) {
-			s.reported, s.reportedAt = s.heard.perSecond, now
-			req.Limits = append(req.Limits, s.heard.message(now, key))
+		statement := s.heard
+		if s.unknown {
+			statement = s.limit() // the routers that heard it may have restarted since
+		}
+		if !statement.at.IsZero() && (s.unknown || s.reported != s.heard.perSecond || now.Sub(s.reportedAt) >= repeatTime) {
+			s.reported, s.reportedAt, s.unknown = s.heard.perSecond, now, false
+			req.Limits = append(req.Limits, statement.message(now, key))
 		}
 	}
 	if len(req.Demands) == 0 && len(req.Limits) == 0 && len(req.Rates) == 0 {
@@ -393,7 +399,7 @@
 	h.Told(now, reply.GetLimits())
 	for _, key := range reply.GetUnknown() {
 		if s := h.servers[Key(key)]; s != nil {
-			s.reportedAt = time.Time{}
+			s.unknown = true
 		}
 	}
 	granted := 0
--- a/internal/permit/permit_test.go
+++ b/internal/permit/permit_test.go
@@ -123,6 +123,35 @@
 	}
 }
 
+// Guards against a backend server that gets no request any more: a router that has restarted knows its limit from an
+// earlier leader only, whose last digest a replica passed on, and the next leader knows none and grants nothing.
+func TestLimitFromAnEarlierLeaderGetsPermits(t *testing.T) {
+	is := is.New(t)
+	t0 := time.Unix(1000, 0)
+	earlier, gone := NewAllocator(), NewHolder("gone")
+	gone.Heard(t0, t0, 1, 2)
+	earlier.Handle(t0, gone.Request(t0))
+	h, next := NewHolder("restarted"), NewAllocator()
+	h.Told(t0, earlier.Limits(t0, func(Key) bool { return true }))
+	served, asked := 0, t0
+	for now := t0; now.Sub(t0) < 10*time.Second; now = now.Add(50 * time.Millisecond) {
+		h.Want(1, 0)
+		if h.HasRoom(now, 1, 0) {
+			h.Take(now, 1, 0)
+			served++
+		} else {
+			h.Miss(now, 1, 0)
+		}
+		if now.Sub(asked) >= h.Interval() {
+			asked = now
+			h.Receive(now, now, next.Handle(now, h.Request(now)))
+		}
+	}
+	t.Logf("%d requests in 10 s", served)
+	is.True(h.Limited(1))
+	is.True(served >= 16 && served <= 21) // 2 a second, without those of the first second
+}
+
 // The leader needs the rate of calls before a server starts, when there are no limits.
 func TestRatesAreReportedWithoutLimits(t *testing.T) {
 	is := is.New(t)
