Record the departure of a backend server that is not a member

Cause: the process that was called looked the server up in its own view. As it was absent there, the notice was acknowledged and nothing was recorded, so the heartbeat that was under way made it a member. The same happened to a notice for another start than the known one, and to one that reached a process whose view was behind.

Change: the leader commits DEPART, which records the start as departed whether it is a member or not, and drains the member whose start it ends. The comment of departedSet states the invariant; undrain holds to it now, as join did. A notice without a start for a name that was never known, and one for an earlier start than a member's that is heard, get 503: nothing would keep the promise.

Replicated rules changed: upgrade all control replicas together.

--- a/internal/control/announcebatch.go
+++ b/internal/control/announcebatch.go
@@ -58,7 +58,7 @@
 // acknowledged only once it is committed, and so does an invalid one: one that can't be marshalled would
 // fail its batch.
 func mayWait(announce *wire.Announce) bool {
-	return !announce.GetLeaving() && membership.CheckAnnounced(announce.GetBackend()) == nil
+	return !announce.GetLeaving() && !announce.GetDeparture() && membership.CheckAnnounced(announce.GetBackend()) == nil
 }
 
 // arrivalRate tells whether enough announcements arrive to collect them. The zero value
@@ -290,7 +290,7 @@
 	}
 	now, snapshot := time.Now(), l.machine.Log().Snapshot()
 	for i, announce := range announces {
-		if !isForwarded(announce) || announce.GetLeaving() || !batch.GetChanges() && !changesNothing(snapshot, announce) {
+		if !isForwarded(announce) || announce.GetLeaving() || announce.GetDeparture() || !batch.GetChanges() && !changesNothing(snapshot, announce) {
 			reply.Results[i] = repeat
 			continue
 		}
@@ -304,5 +304,5 @@
 // isForwarded reports whether control processes forward an announcement: only those of
 // backend servers without an agent.
 func isForwarded(announce *wire.Announce) bool {
-	return announce.GetBackend().GetAddress() != "" && announce.GetBackend().GetAgentAddress() == ""
+	return announce.GetDeparture() || announce.GetBackend().GetAddress() != "" && announce.GetBackend().GetAgentAddress() == ""
 }
--- a/internal/control/external.go
+++ b/internal/control/external.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"parsleypulley/internal/consensus"
 	"parsleypulley/internal/controlclient"
 	"parsleypulley/internal/fault"
@@ -145,10 +147,44 @@
 	return addresses
 }
 
+// depart commits that an incarnation of a backend server leaves. A nil error guarantees that it gets no new work.
+func (l *leader) depart(ctx context.Context, backend *wire.Backend) error {
+	if l.machine.HasDeparted(backend) {
+		return nil
+	}
+	change := &wire.BackendChange{Kind: wire.BackendChange_KIND_DEPART, Name: backend.GetName(), AgentIncarnation: backend.GetAgentIncarnation()}
+	result, err := Propose(ctx, l.node, &wire.Command{Body: &wire.Command_Backend{Backend: change}})
+	if err != nil {
+		return err
+	}
+	l.recordResult(change, result.GetBackend())
+	if problem := result.GetBackend().GetProblem(); problem != "" {
+		return fault.New(fault.Unavailable, fault.NotRun, "the departure of %q is not recorded: %s", backend.GetName(), problem)
+	}
+	return nil
+}
+
+// departure commits the notice of a backend server that leaves. If that is a member, its lease is renewed as that of one
+// that leaves, which removes it once it is silent.
+func (l *leader) departure(ctx context.Context, announce *wire.Announce) (*wire.AnnounceReply, error) {
+	if err := l.depart(ctx, announce.GetBackend()); err != nil {
+		return nil, err
+	}
+	reply := &wire.AnnounceReply{Draining: true}
+	if member := l.machine.Log().Snapshot().Member(announce.GetBackend().GetName()); l.machine.HasDeparted(member.GetBackend()) {
+		_, _, err := l.renew(&wire.Announce{Backend: proto.CloneOf(member.GetBackend()), Leaving: true})
+		return reply, err
+	}
+	return reply, nil
+}
+
 // announce renews the lease of a backend server. For a backend server without an agent
 // it waits for the results of the proposed changes. A nil error for a leaving one
 // guarantees that it gets no new work; errors of other changes are only logged.
 func (l *leader) announce(ctx context.Context, announce *wire.Announce) (*wire.AnnounceReply, error) {
+	if announce.GetDeparture() {
+		return l.departure(ctx, announce)
+	}
 	if announce.GetBackend().GetAddress() == "" {
 		return l.heartbeat(announce)
 	}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -74,6 +74,13 @@
 	return m.once.Lookup(m.clock.ms, once.Key{Account: account, Key: key})
 }
 
+// HasDeparted reports whether it is committed that an incarnation of a backend server gets no more work.
+func (m *Machine) HasDeparted(b *wire.Backend) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.members.HasDeparted(b)
+}
+
 // OpenOrders returns the open orders to engines, oldest first.
 func (m *Machine) OpenOrders() []*wire.Order {
 	m.mu.RLock()
--- a/internal/membership/backend.go
+++ b/internal/membership/backend.go
@@ -29,6 +29,17 @@
 // address: a later time, such as one in microseconds, would keep valid servers out for good.
 const maxStartMs = 4_102_444_800_000
 
+// CheckDeparture returns the first problem of the name and the incarnation of a backend server, or nil.
+func CheckDeparture(b *wire.Backend) error {
+	if b.GetAgentIncarnation() >= maxStartMs {
+		return fmt.Errorf("the start at %d ms is too late", b.GetAgentIncarnation())
+	}
+	if b.GetName() != strings.TrimSpace(b.GetName()) {
+		return errors.New("the name begins or ends with a space")
+	}
+	return CheckName(b.GetName())
+}
+
 // CheckAnnounced returns the first problem of a backend server without an agent that
 // announces itself, or nil if routers can use it. It is stricter than ValidateBackend, which
 // must decide alike at all replicas, also of other versions, and on entries that are in the
@@ -37,11 +48,8 @@
 	if problem := ValidateBackend(b); problem != "" {
 		return errors.New(problem)
 	}
-	if b.GetAgentIncarnation() >= maxStartMs {
-		return fmt.Errorf("the start at %d ms is too late", b.GetAgentIncarnation())
-	}
-	if b.GetName() != strings.TrimSpace(b.GetName()) {
-		return errors.New("the name begins or ends with a space")
+	if err := CheckDeparture(b); err != nil {
+		return err
 	}
 	names := []string{b.GetName(), b.GetService(), b.GetFailureDomain(), b.GetRegion(), b.GetSoftwareVersion()}
 	for _, m := range b.GetModels() {
--- a/internal/membership/departed.go
+++ b/internal/membership/departed.go
@@ -20,8 +20,12 @@
 	return departedKey{xxhash.Sum64String(b.GetName()), b.GetAgentIncarnation()}
 }
 
-// departedSet holds the incarnations that have left. An announcement that one of them sent before may arrive later,
-// also at the leader of a later term, which has not seen it leave. It must not bring the backend server back.
+// departedSet holds the incarnations that have left or have said that they leave.
+//
+// Invariant: an incarnation in the set never gets work again. It is not READY in the table, and no change makes it so:
+// join refuses it, undrain leaves it draining, and all other changes keep a member DRAINING. So a committed record
+// here is what the acknowledgement of a departure stands for, whichever message of the incarnation arrives later, at
+// whichever leader. A further start under the same name is another incarnation, and joins at once.
 type departedSet struct {
 	// order holds the members of set, oldest first.
 	order []departedKey
@@ -51,6 +55,14 @@
 	s.set[key] = true
 }
 
+func (s *departedSet) has(b *wire.Backend) bool { return s.set[departedKeyOf(b)] }
+
+// hasName reports whether any incarnation of a backend server is in the set.
+func (s *departedSet) hasName(name string) bool {
+	hash := xxhash.Sum64String(name)
+	return slices.ContainsFunc(s.order, func(key departedKey) bool { return key.nameHash == hash })
+}
+
 // messages returns the members of the set, oldest first.
 func (s *departedSet) messages() []*wire.DepartedBackend {
 	out := make([]*wire.DepartedBackend, 0, len(s.order))
--- a/internal/membership/state.go
+++ b/internal/membership/state.go
@@ -30,7 +30,7 @@
 	// retired holds the names retired by operators. They too stay retired when leases
 	// expire and incarnations change.
 	retired nameSet
-	// departed holds the incarnations that have left.
+	// departed holds the incarnations that have left or have said that they leave.
 	departed departedSet
 }
 
@@ -65,6 +65,8 @@
 		return s.undrain(change)
 	case wire.BackendChange_KIND_RETIRE:
 		return s.retire(change)
+	case wire.BackendChange_KIND_DEPART:
+		return s.depart(change)
 	}
 	member, problem := s.lookup(change)
 	if problem != "" {
@@ -108,7 +110,7 @@
 		return refused(fmt.Sprintf("backend server %q is retired; undrain it first", name))
 	}
 	old := s.members[name]
-	if s.departed.set[departedKeyOf(backend)] {
+	if s.departed.has(backend) {
 		return refused(fmt.Sprintf("this incarnation of backend server %q has left", name))
 	}
 	if old != nil && old.GetBackend().GetAgentIncarnation() > backend.GetAgentIncarnation() {
@@ -226,11 +228,47 @@
 		return unchanged()
 	}
 	next := copyMember(member)
-	next.State = wire.BackendState_BACKEND_STATE_READY
 	next.Retired = false
+	if !s.departed.has(member.GetBackend()) {
+		next.State = wire.BackendState_BACKEND_STATE_READY
+	}
 	return s.put(next)
 }
 
+// depart records that an incarnation gets no work from now on. Work for the name reaches the process that runs under
+// it, whichever incarnation the member has, so the member is drained too if its own start is over: it is an earlier
+// one, or it has been silent. Otherwise the notice may come from a start before the member's, or from a later one
+// whose clock was set back; depart refuses it, and it can be accepted once the member is suspected. A change without
+// an incarnation is meant for the known one.
+func (s *State) depart(change *wire.BackendChange) Outcome {
+	name := change.GetName()
+	member := s.members[name]
+	left := &wire.Backend{Name: name, AgentIncarnation: change.GetAgentIncarnation()}
+	if left.AgentIncarnation == 0 {
+		if member == nil && s.departed.hasName(name) {
+			return unchanged()
+		}
+		if member == nil {
+			return refused(fmt.Sprintf("backend server %q is not known, and the notice does not name its start", name))
+		}
+		left.AgentIncarnation = member.GetBackend().GetAgentIncarnation()
+	}
+	switch {
+	case s.departed.has(left):
+		return unchanged()
+	case name == "":
+		return refused("the notice names no backend server")
+	case member == nil:
+		s.departed.add(departedKeyOf(left))
+		return Outcome{Result: &wire.BackendResult{Accepted: true, Changed: true}}
+	case member.GetBackend().GetAgentIncarnation() > left.AgentIncarnation && member.GetState() != wire.BackendState_BACKEND_STATE_SUSPECTED:
+		return refused(fmt.Sprintf("a later start of backend server %q is known and was heard lately", name))
+	}
+	s.departed.add(departedKeyOf(left))
+	s.departed.add(departedKeyOf(member.GetBackend()))
+	return s.putState(member, wire.BackendState_BACKEND_STATE_DRAINING)
+}
+
 // retire drains a backend server permanently: once it has left, the name can't join
 // again until it is undrained.
 func (s *State) retire(change *wire.BackendChange) Outcome {
@@ -335,6 +373,9 @@
 // Retired returns the names that operators have retired, oldest first.
 func (s *State) Retired() []string { return slices.Clone(s.retired.names) }
 
+// HasDeparted reports whether an incarnation has left or has said that it leaves.
+func (s *State) HasDeparted(b *wire.Backend) bool { return s.departed.has(b) }
+
 // Departed returns the incarnations that have left, oldest first.
 func (s *State) Departed() []*wire.DepartedBackend { return s.departed.messages() }
 
--- a/internal/membership/state_test.go
+++ b/internal/membership/state_test.go
@@ -46,6 +46,7 @@
 	retire  = wire.BackendChange_KIND_RETIRE
 	leave   = wire.BackendChange_KIND_LEAVE
 	damp    = wire.BackendChange_KIND_DAMP
+	depart  = wire.BackendChange_KIND_DEPART
 
 	ready     = wire.BackendState_BACKEND_STATE_READY
 	suspected = wire.BackendState_BACKEND_STATE_SUSPECTED
