Retry a refused join once a member was removed

What was seen: TestInvalidEntriesOnDiskDoNotEndTheProcess failed once in some tens of runs ("not in time: a server joins whose address an entry holds"). A backend server whose heartbeat came right after the start of a leader's term stayed out for half a minute.

Cause: its join was refused, since an unusable entry of an earlier build held its address, and a refused change is proposed again only after 30 s (RefusedRetryDelay). The leader removes such an entry in the first scan of its term, but a heartbeat may come before that is committed. A server at a reused address whose clock is behind waited in the same way, after the earlier member had expired.

Change: the delay ends once a member was removed after the proposal. Refusals for other reasons are retried as rarely as before (TestRetiredBackendJoinRetriesAreBounded).

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -244,6 +244,7 @@
 		l.markRefused(change)
 		event.BackendChangeRefused(change.Name, change.Kind.String(), result.GetProblem())
 	case result.GetChanged():
+		l.markRemoved(change.GetKind())
 		event.BackendChanged(change.Name, change.Kind.String())
 	}
 }
@@ -256,6 +257,20 @@
 	}
 }
 
+// markRemoved records a change of kind that has taken effect, if it removes a member.
+func (l *leader) markRemoved(kind wire.BackendChange_Kind) {
+	switch kind {
+	case wire.BackendChange_KIND_EXPIRE, wire.BackendChange_KIND_LEAVE, wire.BackendChange_KIND_DEPART:
+	default:
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.leases != nil {
+		l.leases.MarkRemoved()
+	}
+}
+
 // heartbeat renews the lease of a backend server with an agent and returns its open
 // orders. The resulting changes are proposed in the background.
 func (l *leader) heartbeat(announce *wire.Announce) (*wire.AnnounceReply, error) {
--- a/internal/membership/agentless_test.go
+++ b/internal/membership/agentless_test.go
@@ -149,3 +149,49 @@
 		}
 	}
 }
+
+// Guards against a server that stays out for half a minute because its first heartbeat came while an entry that was
+// about to be removed held its address, and against one that is refused at each heartbeat for good.
+func TestRefusedServersAreTriedAgain(t *testing.T) {
+	const heartbeats = 100
+	for name, test := range map[string]struct {
+		// expires is the heartbeat before which the entry at the address is removed.
+		expires  int
+		joinedBy int
+		// proposals is the largest number of proposals in all heartbeats.
+		proposals int
+	}{
+		"the entry is removed at once": {1, 2, 2},
+		"the entry expires":            {8, 9, 2},
+		"the entry stays":              {heartbeats, heartbeats, 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			now := time.Unix(1000, 0)
+			s := NewState()
+			s.Apply(joinChange(agentlessBackend("odd", "10.0.0.1:80", 9)), 1)
+			l := NewLeases(DefaultLeaseConfig(), now)
+			proposals, joined := 0, heartbeats
+			for i := range heartbeats {
+				if i == test.expires {
+					s.Apply(&wire.BackendChange{Kind: expire, Name: "odd", AgentIncarnation: 9}, 2)
+					l.MarkRemoved()
+				}
+				changes, _ := l.Heartbeat(now, s, &wire.Announce{Backend: agentlessBackend("a", "10.0.0.1:80", 5), Sequence: uint64(i + 1)})
+				for _, c := range changes {
+					proposals++
+					if !s.Apply(c, 3).Result.GetAccepted() {
+						l.MarkRefused(now, c)
+					}
+				}
+				if s.Member("a") != nil {
+					joined = min(joined, i)
+				}
+				now = now.Add(1200 * time.Millisecond)
+			}
+			t.Logf("joined with heartbeat %d, %d proposals", joined, proposals)
+			is.True(joined <= test.joinedBy)
+			is.True(proposals <= test.proposals)
+		})
+	}
+}
--- a/internal/membership/leases.go
+++ b/internal/membership/leases.go
@@ -34,9 +34,12 @@
 	flaps flapCounter
 	// proposedKind is the kind of the last proposed change.
 	proposedKind wire.BackendChange_Kind
-	// proposedAt is the time of the last proposal. After a refusal it lies in the
-	// future, which delays the retry.
+	// proposedAt is the time of the last proposal.
 	proposedAt time.Time
+	// removalsBefore is Leases.removals at the time of the last proposal.
+	removalsBefore uint64
+	// refusedUntil delays the retry after a refusal.
+	refusedUntil time.Time
 }
 
 // Leases is the leader's failure detector. It is used for one leadership term: a new
@@ -50,6 +53,8 @@
 	// lastScan is when Tick last scanned the leases.
 	lastScan time.Time
 	leases   map[string]*lease
+	// removals counts the members that were removed in this term.
+	removals uint64
 	// availableDampings is the number of members that may still be damped before the
 	// next Tick.
 	availableDampings int
@@ -225,15 +230,24 @@
 func (l *Leases) MarkRefused(now time.Time, change *wire.BackendChange) {
 	entry := l.lease(change.GetName())
 	entry.proposedKind = change.GetKind()
-	entry.proposedAt = now.Add(l.config.RefusedRetryDelay)
+	entry.refusedUntil = now.Add(l.config.RefusedRetryDelay)
 }
 
+// MarkRemoved records that a member was removed. A server that was refused because the member held its address may then
+// be proposed without the delay.
+func (l *Leases) MarkRemoved() { l.removals++ }
+
 // startProposal reports whether a change of kind should be proposed now. If so, it
 // records the proposal.
 func (l *Leases) startProposal(now time.Time, entry *lease, kind wire.BackendChange_Kind) bool {
-	if entry.proposedKind == kind && now.Sub(entry.proposedAt) < l.config.ProposalRetryInterval {
-		return false
+	if entry.proposedKind == kind {
+		refused := now.Before(entry.refusedUntil) && entry.removalsBefore == l.removals
+		if refused || now.Sub(entry.proposedAt) < l.config.ProposalRetryInterval {
+			return false
+		}
 	}
+	entry.refusedUntil = time.Time{}
+	entry.removalsBefore = l.removals
 	entry.proposedKind = kind
 	entry.proposedAt = now
 	if kind == wire.BackendChange_KIND_DAMP {
