Find the route of a call by its path as it was sent

Cause: the route was found by the decoded path, in which an encoded slash looks like one that separates segments.

Change: paths and prefixes are compared with all percent-encoded bytes decoded but slashes and percent signs (routes.NormalizePath). Prefixes that are declared with an encoded byte match now.

Evidence: TestRouteIsThatOfThePathAsSent fails before (route /files/2026/).

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -68,7 +68,7 @@
 		return fault.New(fault.Unavailable, fault.NotRun, "no route table yet").WithRetryAfter(startRetryAfter)
 	}
 	fresh := c.freshness
-	c.route = table.Match(c.r.Host, c.r.URL.Path)
+	c.route = table.Match(c.r.Host, c.r.URL.EscapedPath())
 	if c.route == nil {
 		if !fresh.Confirmed {
 			return staleViewError(fresh)
--- a/internal/forward/admit_test.go
+++ b/internal/forward/admit_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -48,6 +49,22 @@
 	is.NoErr(startLimits{}.check(&routing.Decision{Wait: time.Minute}, 0)) // a call that may have run has no limit
 }
 
+// Guards against a call with an encoded slash that gets the route of another path.
+func TestRouteIsThatOfThePathAsSent(t *testing.T) {
+	is := is.New(t)
+	table := &wire.RouteTable{Version: 1}
+	for _, prefix := range []string{"/files/", "/files/2026/"} {
+		table.Routes = append(table.Routes, &wire.ForwardRoute{Name: prefix, Host: "desk.example", PathPrefix: prefix})
+	}
+	s, err := view.FromMessage(&wire.View{RouteTable: table})
+	is.NoErr(err)
+	for target, want := range map[string]string{"/files/2026/may/report": "/files/2026/", "/files/2026%2Fmay/report": "/files/", "/files/%32026/may": "/files/2026/"} {
+		c := &forwardedCall{call: &Call{}, snapshot: s, r: httptest.NewRequest("POST", "http://desk.example"+target, nil)}
+		is.NoErr(c.findRoute())
+		is.Equal(c.route.GetName(), want)
+	}
+}
+
 // Guards against calls that run on old weights, since they name no model where there is only one.
 func TestCallWithoutModelIsForTheOnlyOne(t *testing.T) {
 	is := is.New(t)
--- a/internal/routes/compiled.go
+++ b/internal/routes/compiled.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 
 	"parsleypulley/internal/wire"
@@ -17,7 +18,7 @@
 
 	// hosts holds the routes of each normalized host, sorted by the length of the
 	// path prefix, longest first.
-	hosts map[string][]*wire.ForwardRoute
+	hosts map[string][]hostRoute
 	// services holds the services by name.
 	services map[string]*wire.ForwardService
 	// keys holds the client accounts by the SHA-256 digests of their API keys.
@@ -26,6 +27,12 @@
 	stores []*wire.CacheStore
 }
 
+// hostRoute is a route with its path prefix in the form in which paths are compared.
+type hostRoute struct {
+	prefix string
+	route  *wire.ForwardRoute
+}
+
 // maxCacheStores bounds the stores of cached state that are used, the first ones of a table. Each router keeps a
 // connection to each store, and the leader follows what each holds.
 const maxCacheStores = 128
@@ -34,18 +41,16 @@
 func Compile(t *wire.RouteTable) *Compiled {
 	c := &Compiled{
 		Table:    t,
-		hosts:    map[string][]*wire.ForwardRoute{},
+		hosts:    map[string][]hostRoute{},
 		services: map[string]*wire.ForwardService{},
 		keys:     map[[sha256.Size]byte]*wire.Account{},
 	}
 	for _, r := range t.GetRoutes() {
 		host := NormalizeHost(r.GetHost())
-		c.hosts[host] = append(c.hosts[host], r)
+		c.hosts[host] = append(c.hosts[host], hostRoute{prefix: NormalizePath(r.GetPathPrefix()), route: r})
 	}
 	for _, routes := range c.hosts {
-		slices.SortStableFunc(routes, func(a, b *wire.ForwardRoute) int {
-			return len(b.GetPathPrefix()) - len(a.GetPathPrefix())
-		})
+		slices.SortStableFunc(routes, func(a, b hostRoute) int { return len(b.prefix) - len(a.prefix) })
 	}
 	for _, s := range t.GetServices() {
 		c.services[s.GetName()] = s
@@ -75,12 +80,34 @@
 // Version returns the version of the table, or 0 if there is none.
 func (c *Compiled) Version() uint64 { return c.Table.GetVersion() }
 
-// Match returns the route of host with the longest path prefix that matches
-// path, or nil if no route matches.
+// NormalizePath decodes the percent-encoded bytes of a path as it was sent, except slashes and percent signs. Paths and
+// prefixes are compared in this form: an encoded slash does not separate segments, so that a backend server may take
+// "/a%2Fb/" for something else than "/a/b/".
+func NormalizePath(path string) string {
+	if !strings.Contains(path, "%") {
+		return path
+	}
+	out := make([]byte, 0, len(path))
+	for i := 0; i < len(path); i++ {
+		if path[i] == '%' && i+2 < len(path) {
+			if b, err := strconv.ParseUint(path[i+1:i+3], 16, 8); err == nil && b != '/' && b != '%' {
+				out = append(out, byte(b))
+				i += 2
+				continue
+			}
+		}
+		out = append(out, path[i])
+	}
+	return string(out)
+}
+
+// Match returns the route of host with the longest path prefix that begins path, which must be as it was sent, or nil
+// if there is none.
 func (c *Compiled) Match(host, path string) *wire.ForwardRoute {
+	path = NormalizePath(path)
 	for _, r := range c.hosts[NormalizeHost(host)] {
-		if strings.HasPrefix(path, r.GetPathPrefix()) {
-			return r
+		if strings.HasPrefix(path, r.prefix) {
+			return r.route
 		}
 	}
 	return nil
--- a/internal/routes/routes_test.go
+++ b/internal/routes/routes_test.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"fmt"
 	"math"
+	"net/url"
 	"runtime"
 	"strings"
 	"testing"
@@ -45,6 +46,32 @@
 	is.True(c.Account("k4") == nil)
 }
 
+// Guards against a call that is run by the service of a prefix that does not begin its path as it was sent: an encoded
+// slash was taken for one that separates segments.
+func TestPathsAreComparedAsSent(t *testing.T) {
+	next := table(1)
+	for name, prefix := range map[string]string{"letter": "/a/caf\u00e9/", "encoded letter": "/a/%62%2Fx/", "percent": "/a/100%/"} {
+		next.Routes = append(next.Routes, route(name, "one.example", prefix, "lab"))
+	}
+	c := Compile(next)
+	for target, want := range map[string]string{
+		"/a/b/c": "ab", "/a/b%2Fc": "a", "/a%2Fb/c": "", "/a/b%2fc/d": "a", "/a/%62/c": "ab", "/%61/b/c": "ab", "/a/b/%2F": "ab",
+		"/a/b%252Fc": "a", "/a/b%252Fx/": "a", "/a/b%2Fx/y": "encoded letter", "/a/b/x/y": "ab", "/a/caf\u00e9/x": "letter", "/a/caf%C3%A9/x": "letter", "/a/100%25/x": "a",
+		"/a/%2E%2E/b/": "a", "//a/b/": "", "/a//b/": "a",
+	} {
+		u, err := url.ParseRequestURI(target)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := c.Match("one.example", u.EscapedPath()).GetName(); got != want {
+			t.Errorf("%s: route %q, want %q", target, got, want)
+		}
+	}
+	if got := c.Match("one.example", "/a/b%2").GetName(); got != "a" {
+		t.Errorf("incomplete escape: route %q", got)
+	}
+}
+
 func TestOnlyHigherVersionReplacesTable(t *testing.T) {
 	is := is.New(t)
 	s := NewState()
