Bound the memory for the request bodies of all calls of a router

Cause: each body was kept whole until its call had ended, and nothing bounded all of them together. The buffer doubled while it was read.

Change: bodies share as much memory as the Go runtime's limit allows. A call without room is refused as not run, after the rest of its body was thrown away, so that the caller sees the refusal. Bodies up to 64 KiB need no room. A body with a length is read into a buffer of just that size once 64 KiB of it have arrived.

--- a/internal/forward/admit.go
+++ b/internal/forward/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"os"
@@ -36,8 +35,19 @@
 		limit = defaultBodyLimit
 	}
 	endBody := c.f.shutdown.beginBody(c.stop, http.NewResponseController(c.w), c.arrivedAt.Add(c.timeout()))
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	limited := http.MaxBytesReader(c.w, c.r.Body, limit)
+	c.bodyHold = c.f.bodies.Hold(c.r.RemoteAddr, freeBodyMemory)
+	length := c.r.ContentLength
+	if length > limit {
+		length = -1 // the limit ends the read
+	}
+	body, err := readBody(limited, length, c.bodyHold)
 	endBody()
+	if fault.Is(err, fault.Overloaded) {
+		c.discardBody(limited)
+		c.w.Header().Set("Connection", "close")
+		return err
+	}
 	if err != nil {
 		c.w.Header().Set("Connection", "close") // else the server would wait for the rest of the body
 	}
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -13,6 +13,7 @@
 	"parsleypulley/internal/event"
 	"parsleypulley/internal/fault"
 	"parsleypulley/internal/fleet"
+	"parsleypulley/internal/membudget"
 	"parsleypulley/internal/quarantine"
 	"parsleypulley/internal/quota"
 	"parsleypulley/internal/quota/guard"
@@ -116,9 +117,11 @@
 // Forwarder forwards calls according to the route table. It implements
 // http.Handler.
 type Forwarder struct {
-	opts         Options
-	dialect      Dialect
-	connPool     *connPool
+	opts     Options
+	dialect  Dialect
+	connPool *connPool
+	// bodies limits the memory for request bodies.
+	bodies       *membudget.Budget
 	selector     *backendSelector
 	storeMonitor *storeMonitor
 	shutdown     *shutdownGuard
@@ -146,7 +149,7 @@
 		selector.router.ReportRates()
 	}
 	pool := newConnPool()
-	return &Forwarder{opts: opts, dialect: opts.Dialect, connPool: pool, selector: selector, storeMonitor: newStoreMonitor(), shutdown: newShutdownGuard(),
+	return &Forwarder{opts: opts, dialect: opts.Dialect, connPool: pool, bodies: newBodyBudget(), selector: selector, storeMonitor: newStoreMonitor(), shutdown: newShutdownGuard(),
 		silence: newSilenceGuard(opts.CheckDialer, pool, opts.Unreachable), starts: newStartTracker(opts.Streams), runs: newRunTracker(opts.Views, opts.Freshness),
 		permits: newPermitClient(opts.Permits, strconv.FormatUint(opts.Seed, 36), selector, quotas), quotas: quotas, crashes: newCrashGuard(crashreport.New(opts.Control, opts.Views))}
 }
@@ -255,6 +258,8 @@
 	quota guard.Use
 	call  *Call
 	body  []byte
+	// bodyHold is what the body takes of the memory for bodies.
+	bodyHold *membudget.Hold
 	// service is the service selected from those of the route.
 	service string
 	// cacheScope is the scope of cached state of the latest attempt.
@@ -329,6 +334,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	defer func() { c.quota.End() }()
+	defer func() { c.releaseBody() }()
 	c.stop = f.shutdown.arrive(c.arrivedAt)
 	end := endLeft // also if the call panics
 	defer func() { f.shutdown.finish(time.Now(), c.stop, end) }()
