Random departures: a start that is kept out need not have joined

Cause: the check counted a heartbeat that arrived in the step in which the later-dated member before it expired, so that a start that joined with its next heartbeat failed. The time now begins with the first heartbeat after the start is no longer kept out; the bound stays.

--- a/internal/membership/departed_property_test.go
+++ b/internal/membership/departed_property_test.go
@@ -135,7 +135,7 @@
 		// further start whose clock was set back, which has to join at once.
 		return
 	}
-	if m.sender.heard.IsZero() && !m.announce.GetLeaving() {
+	if m.sender.heard.IsZero() && !m.announce.GetLeaving() && !w.keptOut(m.sender) {
 		m.sender.heard = w.now
 	}
 	if m.announce.GetLeaving() || m.announce.GetDeparture() {
@@ -179,6 +179,13 @@
 	}
 }
 
+// keptOut reports whether a start is a member, or need not join yet: a later member that is not known to have left keeps an
+// earlier start out until it has expired.
+func (w *world) keptOut(s *start) bool {
+	member := w.state.Member(s.backend.GetName())
+	return member != nil && !(w.state.HasDeparted(member.GetBackend()) && member.GetBackend().GetAgentIncarnation() < s.backend.AgentIncarnation)
+}
+
 // check holds the state to the invariant and to the promise to a further start.
 func (w *world) check() {
 	for name, s := range w.starts {
@@ -188,8 +195,7 @@
 			w.t.Fatalf("%v: %s, started as %d, is acknowledged to leave, and the member of start %d is %v", w.now.Sub(time.Unix(worldBegin, 0)), name,
 				s.backend.AgentIncarnation, member.GetBackend().GetAgentIncarnation(), member.GetState())
 		}
-		// A later member that is not known to have left keeps an earlier start out until it is silent for long enough.
-		if member != nil && !(w.state.HasDeparted(member.GetBackend()) && member.GetBackend().GetAgentIncarnation() < s.backend.AgentIncarnation) {
+		if w.keptOut(s) {
 			s.heard = time.Time{}
 		}
 		if s.running && !s.leaving && !s.heard.IsZero() && w.now.Sub(s.heard) > 2*maxCommitDelay {
