--- a/internal/consensus/loop.go
+++ b/internal/consensus/loop.go
@@ -129,10 +129,26 @@
 		if m.FromAddress != "" {
 			n.setAddress(m.From, m.FromAddress)
 		}
+		n.limitEntries(m)
 		n.replica.Step(now, m)
 	}
 }
 
+// limitEntries removes the entries of a message that the log has no room for until the snapshot that is being written is
+// saved. Such a message acknowledges nothing new, and the leader sends the entries again. Without a snapshot under way the
+// log would not shrink, and the entries may be what the cluster needs to go on, so they are taken.
+func (n *Node) limitEntries(m *wire.ConsensusMessage) {
+	var size int64
+	for _, e := range m.Entries {
+		size += int64(len(e.Data)) + storage.EntryOverhead
+	}
+	if n.snapshots.writing && n.config.Store.LogBytes()+n.unsavedBytes+size > n.config.Store.Budget().LogBytes {
+		m.Entries = nil
+		return
+	}
+	n.unsavedBytes += size
+}
+
 // setAddress records the link address of a message sender. Beyond maxSenderAddresses
 // it forgets those of replicas outside the set: identities change with each lost disk.
 func (n *Node) setAddress(id uint64, address string) {
@@ -212,6 +228,7 @@
 }
 
 func (n *Node) persist(rd *Ready) error {
+	n.unsavedBytes = 0
 	if !rd.MustSync {
 		return nil
 	}
--- a/internal/consensus/node.go
+++ b/internal/consensus/node.go
@@ -158,6 +158,8 @@
 	// confirmedReads are confirmed reads whose index is not yet applied.
 	confirmedReads []*readCall
 	snapshots      snapshotter
+	// unsavedBytes is the size of received entries that are not yet in the store.
+	unsavedBytes int64
 	// loggedElection is the election outcome that was logged last, or nil.
 	loggedElection *electionOutcome
 	// belowDeclared is set while this replica leads and fewer losses can be borne
@@ -295,8 +297,8 @@
 	}
 }
 
-// Step queues a batch of messages from another replica. It doesn't block; if the
-// queue is full, the batch is dropped.
+// Step queues a batch of messages from another replica, which must not be used
+// afterwards. It doesn't block; if the queue is full, the batch is dropped.
 func (n *Node) Step(batch *wire.ConsensusBatch) {
 	select {
 	case n.batches <- batch:
--- a/internal/node/disk_budget_test.go
+++ b/internal/node/disk_budget_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,6 +34,8 @@
 	storage.Disk
 	root string
 	size int64
+	// snapshotDelay is the time in nanoseconds that a sync of a snapshot file takes longer.
+	snapshotDelay atomic.Int64
 
 	mu sync.Mutex
 	// peak is the most that was in use.
@@ -43,16 +47,17 @@
 type smallDiskFile struct {
 	storage.File
 	disk *smallDisk
+	name string
 }
 
 func (d *smallDisk) Create(name string) (storage.File, error) {
 	f, err := d.Disk.Create(name)
-	return &smallDiskFile{f, d}, err
+	return &smallDiskFile{f, d, name}, err
 }
 
 func (d *smallDisk) Append(name string) (storage.File, error) {
 	f, err := d.Disk.Append(name)
-	return &smallDiskFile{f, d}, err
+	return &smallDiskFile{f, d, name}, err
 }
 
 func (f *smallDiskFile) Write(p []byte) (int, error) {
@@ -69,6 +74,13 @@
 	return n, err
 }
 
+func (f *smallDiskFile) Sync() error {
+	if strings.Contains(f.name, ".snapshot") {
+		time.Sleep(time.Duration(f.disk.snapshotDelay.Load()))
+	}
+	return f.File.Sync()
+}
+
 // folderBytes returns the size of all files in a folder.
 func folderBytes(root string) int64 {
 	var n int64
@@ -155,12 +167,18 @@
 		perRoute   = 3 * time.Millisecond
 		routeBytes = 150
 	)
-	for size, count := range map[int]int{300 << 10: 400, 12<<20 - 100: 16} {
-		t.Run(fmt.Sprint(size), func(t *testing.T) {
+	for _, test := range []struct {
+		size, count int
+		// slow is the snapshotDelay of one replica.
+		slow time.Duration
+	}{{300 << 10, 400, 0}, {12<<20 - 100, 16, 0}, {12<<20 - 100, 16, 200 * time.Millisecond}} {
+		t.Run(fmt.Sprint(test.size, test.slow), func(t *testing.T) {
+			size, count := test.size, test.count
 			is := is.New(t)
 			folders := []string{t.TempDir(), t.TempDir(), t.TempDir()}
 			d := startDiskHosts(t, folders, storage.NewBudget(smallestDisk, smallestMemory))
 			is.True(d.put(t, 1, 10, 20*time.Second))
+			d.disks[2].snapshotDelay.Store(int64(test.slow))
 			for version := uint64(2); version <= uint64(count); version++ {
 				if !d.put(t, version, size, ackLimit+time.Duration(size/routeBytes)*perRoute) {
 					t.Fatalf("version %d is not acknowledged", version)
