Begin the buffer of a body without a length with 512 bytes

Cause: readBody began with a buffer of 64 KiB for each body whose length is not declared, though most bodies are short. io.ReadAll, which it replaced, began with 512 bytes.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -19,6 +19,8 @@
 	// freeBodyMemory is the part of each body that needs not be taken from the common memory, so that short bodies are
 	// read whatever long ones come.
 	freeBodyMemory = 64 << 10
+	// firstBodyBuffer is the buffer in bytes with which a body of unknown length begins. Most bodies are short.
+	firstBodyBuffer = 512
 )
 
 // bodyMemoryFull counts the calls that were refused since no memory was left for their bodies.
@@ -36,10 +38,11 @@
 // readBody reads a request body of the given length, or of any length if that is -1. The memory grows as the bytes
 // arrive, so that a caller that only names a length takes none.
 func readBody(r io.Reader, length int64, hold *membudget.Hold) ([]byte, error) {
-	body := make([]byte, 0, freeBodyMemory)
+	first := int64(firstBodyBuffer)
 	if length >= 0 {
-		body = make([]byte, 0, min(length, freeBodyMemory))
+		first = min(length, freeBodyMemory)
 	}
+	body := make([]byte, 0, first)
 	for {
 		if len(body) == cap(body) {
 			if int64(len(body)) == length {
