--- a/internal/storage/budget.go
+++ b/internal/storage/budget.go
@@ -3,7 +3,7 @@
 // DefaultDiskBytes is the size of the disk if none is declared.
 const DefaultDiskBytes = 256 << 20
 
-// Budget bounds what a replica stores, in bytes. Its parts add up to less than the declared disk:
+// Budget bounds what a replica stores, in bytes. Its parts add up to the declared disk at most:
 //
 //	1/2   the log, with the entries that a snapshot being written will cover
 //	7/16  snapshots: two small ones, or the newest one beside one that is being written or was received
