--- /dev/null
+++ b/review/kit3/kit3.go
@@ -0,0 +1,343 @@
+// Package kit3 starts a small installation of the deploy file on loopback addresses, with stand-ins for its operator and
+// its backend servers, for the cases of the third review.
+package kit3
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	ExitHeld   = 0
+	ExitBroken = 1
+	ExitNoRun  = 2
+)
+
+// Bounds of the deployment, those of the sheet of clamp-check.
+const (
+	RevokeBound  = 5 * time.Second
+	ApplyBound   = 2 * time.Second
+	VersionBound = 8 * time.Second
+	HeartbeatMs  = 1200
+	memoryMB     = 134
+	diskMB       = 64
+	maxFiles     = 4100
+	lossesBorne  = 1
+)
+
+// VM is a front VM with a disk, which runs both roles of the deploy file.
+type VM struct {
+	Name, Zone, IP string
+	Front, Control string
+	Processes      map[string]*Process
+}
+
+// Process is a process of a VM.
+type Process struct {
+	Role string
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Running reports whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Installation is a running installation of three VMs in three failure domains.
+type Installation struct {
+	VMs    []*VM
+	Record *Record
+	dir    string
+	// version is the version of the newest configuration that was sent.
+	version int
+}
+
+// Record is the record of a case: what was sent, answered and run.
+type Record struct {
+	mu    sync.Mutex
+	file  *os.File
+	start time.Time
+}
+
+// NewRecord creates the record at path.
+func NewRecord(path string) (*Record, error) {
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &Record{file: file, start: time.Now()}, nil
+}
+
+// Addf adds a line with the time since the start.
+func (r *Record) Addf(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	line := fmt.Sprintf("%8.3f s  ", time.Since(r.start).Seconds()) + fmt.Sprintf(format, args...)
+	fmt.Fprintln(r.file, line)
+	fmt.Println(line)
+}
+
+// runLine matches the command of a role in the deploy file.
+var runLine = regexp.MustCompile(`(?m)^\[roles\.(\w+)\]\s*\nrun = "([^"]+)"`)
+
+// deployCommands returns the commands of the roles in the deploy file.
+func deployCommands() (map[string]string, error) {
+	text, err := os.ReadFile("deploy/system.toml")
+	if err != nil {
+		return nil, err
+	}
+	commands := map[string]string{}
+	for _, match := range runLine.FindAllStringSubmatch(string(text), -1) {
+		commands[match[1]] = match[2]
+	}
+	if len(commands) == 0 {
+		return nil, errors.New("the deploy file has no commands")
+	}
+	return commands, nil
+}
+
+// Start starts an installation in a temporary folder and waits until it acknowledges its first configuration.
+func Start(record *Record, config map[string]any) (*Installation, error) {
+	commands, err := deployCommands()
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "review3-")
+	if err != nil {
+		return nil, err
+	}
+	in := &Installation{Record: record, dir: dir}
+	network, base := 16+rand.IntN(200), 20000+10*rand.IntN(800)
+	host := rand.IntN(200)
+	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
+		ip := fmt.Sprintf("127.%d.%d.%d", network, host, 10+i)
+		in.VMs = append(in.VMs, &VM{Name: "front-" + zone + "-1", Zone: zone, IP: ip, Processes: map[string]*Process{},
+			Front: address(ip, base+4), Control: address(ip, base+6)})
+	}
+	var seeds []string
+	for _, v := range in.VMs {
+		seeds = append(seeds, v.Control)
+	}
+	for _, v := range in.VMs {
+		for role, command := range commands {
+			if err := in.startRole(v, role, command, base, seeds); err != nil {
+				in.Stop()
+				return nil, err
+			}
+		}
+	}
+	if err := in.PutConfig(config, 30*time.Second); err != nil {
+		in.Stop()
+		return nil, err
+	}
+	return in, nil
+}
+
+func address(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
+
+// placeholder matches a placeholder of the deploy file.
+var placeholder = regexp.MustCompile(`{{([\w.]+)}}`)
+
+// startRole starts a role with the command of the deploy file.
+func (in *Installation) startRole(v *VM, role, command string, base int, seeds []string) error {
+	data := filepath.Join(in.dir, v.Name, "data-"+role)
+	if err := os.MkdirAll(data, 0o700); err != nil {
+		return err
+	}
+	settings := map[string]string{
+		"NodeName": v.Name, "Zone": v.Zone, "Ip": v.IP, "Seeds": strings.Join(seeds, ","), "PortRange.0": fmt.Sprint(base),
+		"Limits.MemoryMb": fmt.Sprint(memoryMB), "Limits.DiskMb": fmt.Sprint(diskMB), "Limits.MaxFds": fmt.Sprint(maxFiles),
+		"Listen.Control": v.Control, "Listen.Front": v.Front, "Listen.Ready": address(v.IP, base+5),
+		"DataDir": data, "Bootstrap": "true", "FaultTolerance.Machines": fmt.Sprint(lossesBorne), "HeartbeatMs": fmt.Sprint(HeartbeatMs),
+		"Bounds.GraceS": "8", "Bounds.LeaseMs": "3000", "Bounds.VersionMs": fmt.Sprint(VersionBound.Milliseconds()), "Bounds.RevokeMs": fmt.Sprint(RevokeBound.Milliseconds()),
+		"Bounds.BudgetRatio": "0.2", "Bounds.ExtraRetries": "116", "Bounds.BudgetWindowS": "10",
+	}
+	words := strings.Fields(command)
+	for i := range words {
+		words[i] = placeholder.ReplaceAllStringFunc(words[i], func(p string) string { return settings[strings.Trim(p, "{}")] })
+	}
+	file := filepath.Join(in.dir, v.Name, role+".json")
+	text, err := json.Marshal(map[string]any{"NodeName": v.Name, "Role": role, "Ip": v.IP, "Zone": v.Zone, "Seeds": seeds, "Bootstrap": true})
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(in.dir, v.Name, role+".log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(words[0], words[1:]...)
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", "PARSLEYPULLEY_SETTINGS=" + file}
+	cmd.Stdout, cmd.Stderr = log, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p := &Process{Role: role, cmd: cmd, done: make(chan struct{})}
+	go func() { _ = cmd.Wait(); close(p.done) }()
+	v.Processes[role] = p
+	in.Record.Addf("platform: started %s on %s, process %d", role, v.Name, cmd.Process.Pid)
+	return nil
+}
+
+// LogsOf returns the lines of the log of a role at a VM that contain a text.
+func (in *Installation) LogsOf(v *VM, role, text string) []string {
+	log, _ := os.ReadFile(filepath.Join(in.dir, v.Name, role+".log"))
+	var out []string
+	for line := range strings.Lines(string(log)) {
+		if strings.Contains(line, text) {
+			out = append(out, strings.TrimSpace(line))
+		}
+	}
+	return out
+}
+
+// Stop ends all processes and removes the folder.
+func (in *Installation) Stop() {
+	for _, v := range in.VMs {
+		for _, p := range v.Processes {
+			_ = p.Signal(syscall.SIGKILL) // fails only if it has ended
+			<-p.done
+		}
+	}
+	if os.Getenv("REVIEW_KEEP") == "" {
+		_ = os.RemoveAll(in.dir) // a temporary folder
+	}
+}
+
+// call sends a call of the operator or of a backend server to the control VMs in turn, until one answers with a status
+// below 500.
+func (in *Installation) call(ctx context.Context, method, path string, body any) (status int, by string, err error) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return 0, "", err
+	}
+	for i := rand.IntN(len(in.VMs)); ; i++ {
+		v := in.VMs[i%len(in.VMs)]
+		if status, err = send(ctx, method, v.Control, path, text); err == nil && status < 500 {
+			return status, v.Name, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, "", fmt.Errorf("%s %s: no clear answer: %d, %w", method, path, status, errors.Join(err, ctx.Err()))
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// callClient calls control processes.
+var callClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func send(ctx context.Context, method, at, path string, body []byte) (int, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+at+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := callClient.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err
+}
+
+// PutConfig sends a configuration under the next version until it is acknowledged.
+func (in *Installation) PutConfig(config map[string]any, within time.Duration) error {
+	in.version += 3
+	config["Version"] = in.version
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	status, by, err := in.call(ctx, http.MethodPut, "/parsleypulley/config", config)
+	if err != nil {
+		return err
+	}
+	in.Record.Addf("operator: configuration %d answered %d by %s", in.version, status, by)
+	if status != http.StatusOK {
+		return fmt.Errorf("configuration %d: status %d", in.version, status)
+	}
+	return nil
+}
+
+// PutWeights names a version of a model's weights until it is acknowledged.
+func (in *Installation) PutWeights(model string, version int) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	status, by, err := in.call(ctx, http.MethodPost, "/parsleypulley/version-put", map[string]any{"Model": model, "Version": version})
+	if err != nil {
+		return err
+	}
+	in.Record.Addf("operator: version %d of %s answered %d by %s", version, model, status, by)
+	if status != http.StatusOK {
+		return fmt.Errorf("version %d: status %d", version, status)
+	}
+	return nil
+}
+
+// Heartbeat sends a heartbeat, or what another writer sends as one, and returns the status.
+func (in *Installation) Heartbeat(id string, body map[string]any) (int, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	status, _, err := in.call(ctx, http.MethodPut, "/parsleypulley/instances/"+id, body)
+	return status, err
+}
+
+// Limits returns the limits for callers of a configuration.
+func Limits() map[string]any {
+	return map[string]any{"HeaderBytes": 16384, "BodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}
+}
+
+// Main runs a case: run returns whether the rule was broken, or an error if the case could not run.
+func Main(run func(record *Record, trouble bool) (broken bool, err error)) {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: CASE RECORD")
+		os.Exit(ExitNoRun)
+	}
+	record, err := NewRecord(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(ExitNoRun)
+	}
+	trouble := os.Getenv("TROUBLE") != "0"
+	record.Addf("case: disruption %v", trouble)
+	broken, err := run(record, trouble)
+	switch {
+	case err != nil:
+		record.Addf("case: could not run: %v", err)
+		os.Exit(ExitNoRun)
+	case broken:
+		record.Addf("case: the rule was broken")
+		os.Exit(ExitBroken)
+	}
+	record.Addf("case: the rule held")
+	os.Exit(ExitHeld)
+}
