review: case 11, a router that wakes shares cached state of an isolated account

Cause: the cache scope of a call is taken from a view of up to RevokeBound (4 s), also if a newer one isolates the account. Change: a script that freezes a VM, isolates an account and sends its prompts to the VM after ApplyMs.

--- a/review/kit3/backend.go
+++ b/review/kit3/backend.go
@@ -13,13 +13,14 @@
 
 // Run is a request that a backend server has run.
 type Run struct {
-	At                     time.Time
-	Backend, Service       string
-	ID, Method, Target     string
-	Tenant, Authorization  string
-	ExpectedVersion, Salt  string
-	Version                int
-	LastEventID, DeadlineM string
+	At                    time.Time
+	Backend, Service      string
+	ID, Method, Target    string
+	Tenant, Authorization string
+	ExpectedVersion, Salt string
+	// Parts are the parts of the prompt, as the client sent them.
+	Parts   string
+	Version int
 }
 
 // Backend is a stand-in for a backend server of a plain service or a model engine: it announces itself, answers 421 to
@@ -140,11 +141,11 @@
 		return
 	}
 	run := Run{At: time.Now(), Backend: b.ID, Service: b.Service, ID: id, Method: r.Method, Target: r.RequestURI, Tenant: r.Header.Get("X-Tenant"),
-		Authorization: r.Header.Get("Authorization"), ExpectedVersion: r.Header.Get("X-Expect-Version"), Salt: r.Header.Get("X-Cache-Salt"), Version: version}
+		Authorization: r.Header.Get("Authorization"), ExpectedVersion: r.Header.Get("X-Expect-Version"), Salt: r.Header.Get("X-Cache-Salt"), Parts: r.Header.Get("X-Prefix-Hash"), Version: version}
 	b.mu.Lock()
 	b.runs = append(b.runs, run)
 	b.mu.Unlock()
-	b.in.Record.Addf("server %s (%s): runs %s %s, request %s, tenant %q, version %d", b.ID, b.Service, run.Method, run.Target, id, run.Tenant, version)
+	b.in.Record.Addf("server %s (%s): runs %s %s, request %s, tenant %q, version %d, salt %q", b.ID, b.Service, run.Method, run.Target, id, run.Tenant, version, run.Salt)
 	time.Sleep(b.Work)
 	w.Header().Set("X-Server-Stamp", fmt.Sprintf("%s.%s", b.ID, id))
 	if b.model != "" {
@@ -207,16 +208,41 @@
 	Err    error
 }
 
+// Caller is a client's connection to a router.
+type Caller struct {
+	in   *Installation
+	vm   *VM
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+// Dial opens a connection to the router of a VM.
+func (in *Installation) Dial(v *VM) (*Caller, error) {
+	conn, err := net.DialTimeout("tcp", v.Front, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &Caller{in: in, vm: v, conn: conn, r: bufio.NewReader(conn)}, nil
+}
+
+// Close closes the connection.
+func (c *Caller) Close() { _ = c.conn.Close() }
+
 // Do sends a request on a new connection, its target as it is, and waits for the answer.
 func (in *Installation) Do(v *VM, q Request) Answer {
-	conn, err := net.DialTimeout("tcp", v.Front, time.Second)
+	c, err := in.Dial(v)
 	if err != nil {
 		return Answer{Err: err}
 	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(5 * time.Second)) // fails only on a closed connection
+	defer c.Close()
+	return c.Do(q)
+}
+
+// Do sends a request, its target as it is, and waits for the answer.
+func (c *Caller) Do(q Request) Answer {
+	_ = c.conn.SetDeadline(time.Now().Add(5 * time.Second)) // fails only on a closed connection
 	var head strings.Builder
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 2000\r\n", q.Method, q.Target, q.Host, q.ID)
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 4000\r\n", q.Method, q.Target, q.Host, q.ID)
 	if q.Key != "" {
 		fmt.Fprintf(&head, "Authorization: Bearer %s\r\n", q.Key)
 	}
@@ -224,18 +250,18 @@
 		fmt.Fprintf(&head, "%s: %s\r\n", name, value)
 	}
 	fmt.Fprintf(&head, "Content-Length: %d\r\n\r\n%s", len(q.Body), q.Body)
-	in.Record.Addf("client: sends %s %s with key %q to %s, request %s", q.Method, q.Target, q.Key, v.Name, q.ID)
-	if _, err := io.WriteString(conn, head.String()); err != nil {
+	c.in.Record.Addf("client: sends %s %s with key %q to %s, request %s", q.Method, q.Target, q.Key, c.vm.Name, q.ID)
+	if _, err := io.WriteString(c.conn, head.String()); err != nil {
 		return Answer{Err: err}
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	resp, err := http.ReadResponse(c.r, nil)
 	if err != nil {
-		in.Record.Addf("client: request %s gets no answer: %v", q.ID, err)
+		c.in.Record.Addf("client: request %s gets no answer: %v", q.ID, err)
 		return Answer{Err: err}
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	a := Answer{Status: resp.StatusCode, Stamp: resp.Header.Get("X-Server-Stamp"), Body: string(body), Err: err}
-	in.Record.Addf("client: request %s is answered %d, stamp %q", q.ID, a.Status, a.Stamp)
+	c.in.Record.Addf("client: request %s is answered %d, stamp %q", q.ID, a.Status, a.Stamp)
 	return a
 }
--- a/review/kit3/kit3.go
+++ b/review/kit3/kit3.go
@@ -18,6 +18,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -39,6 +40,9 @@
 	diskMB       = 64
 	maxFiles     = 4100
 	lossesBorne  = 1
+	// The ports for metrics are those of the deploy file.
+	controlMetricsPort = 9465
+	routerMetricsPort  = 9464
 )
 
 // VM is a front VM with a disk, which runs both roles of the deploy file.
@@ -73,6 +77,8 @@
 	VMs    []*VM
 	Record *Record
 	dir    string
+	// frozen is the VM that stands still, which the operator has given up on.
+	frozen atomic.Pointer[VM]
 	// version is the version of the newest configuration that was sent.
 	version int
 }
@@ -242,6 +248,9 @@
 	}
 	for i := rand.IntN(len(in.VMs)); ; i++ {
 		v := in.VMs[i%len(in.VMs)]
+		if v == in.frozen.Load() {
+			continue
+		}
 		if status, err = send(ctx, method, v.Control, path, text); err == nil && status < 500 {
 			return status, v.Name, nil
 		}
@@ -341,3 +350,62 @@
 	record.Addf("case: the rule held")
 	os.Exit(ExitHeld)
 }
+
+// FollowerVM returns a VM whose control process does not lead. If there is one whose router follows the view of that
+// control process, it returns that.
+func (in *Installation) FollowerVM() (*VM, error) {
+	var found *VM
+	for _, v := range in.VMs {
+		var control struct {
+			Role string `json:"consensus_role"`
+		}
+		var router struct {
+			Source string `json:"view_source"`
+		}
+		if err := errors.Join(metrics(v, controlMetricsPort, &control), metrics(v, routerMetricsPort, &router)); err != nil {
+			return nil, err
+		}
+		in.Record.Addf("platform: the control process of %s is a %s, its router follows %s", v.Name, control.Role, router.Source)
+		own := strings.HasPrefix(router.Source, v.IP+":")
+		if control.Role == "follower" && (found == nil || own) {
+			found = v
+		}
+	}
+	if found == nil {
+		return nil, errors.New("no control process follows a leader")
+	}
+	return found, nil
+}
+
+// metrics reads metrics of a role of a VM.
+func metrics(v *VM, port int, into any) error {
+	resp, err := callClient.Get("http://" + address(v.IP, port) + "/debug/vars")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return json.NewDecoder(resp.Body).Decode(into)
+}
+
+// Freeze stops all processes of a VM until Wake.
+func (in *Installation) Freeze(v *VM) {
+	in.Record.Addf("platform: %s freezes", v.Name)
+	in.frozen.Store(v)
+	v.signalAll(syscall.SIGSTOP)
+}
+
+// Wake continues all processes of a VM.
+func (in *Installation) Wake(v *VM) {
+	in.Record.Addf("platform: %s wakes", v.Name)
+	in.frozen.Store(nil)
+	v.signalAll(syscall.SIGCONT)
+}
+
+func (v *VM) signalAll(s syscall.Signal) {
+	for _, p := range v.Processes {
+		_ = p.Signal(s) // fails only if it has ended
+	}
+}
+
+// Pid returns the ID of the process.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
