--- /dev/null
+++ b/review/cmd3/frozenpublic/main.go
@@ -0,0 +1,101 @@
+// Command frozenpublic is a case of the third review: whether a router that wakes after a freeze runs requests whose key was
+// taken away more than RevokeMs before they were sent, on a route that was public until then.
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"parsleypulley/review/kit3"
+)
+
+const (
+	host = "desk.example"
+	key  = "ctnfzs989anu6wsjnban"
+	// requests is the number of requests that wait at the router when it wakes.
+	requests = 40
+)
+
+func main() { kit3.Main(run) }
+
+func run(record *kit3.Record, trouble bool) (broken bool, err error) {
+	config := func(public bool, keys ...any) map[string]any {
+		return map[string]any{
+			"Routes": []any{map[string]any{"Name": "r-desk", "Host": host, "Prefix": "/desk/", "Kind": "unsafe", "TimeoutMs": 4000, "GoalMs": 150, "Priority": 2,
+				"Service": "farmdesk", "Attempts": 1, "Public": public, "Sticky": false, "CanResume": false}},
+			"Services": []any{map[string]any{"Name": "farmdesk", "HealthPath": "/health", "MaxConns": 220, "Protocol": "h1", "Tls": false}},
+			"Limits":   kit3.Limits(),
+			"Tenants":  []any{map[string]any{"Name": "sese880", "ApiKeys": append([]any{"fqasnmgkcuyj8pjbvk9m"}, keys...), "Priority": 1, "Isolated": false}},
+		}
+	}
+	in, err := kit3.Start(record, config(true, key))
+	if err != nil {
+		return false, err
+	}
+	defer in.Stop()
+	farm, err := in.StartBackend("i-farm1", "farmdesk", "zone-a", in.VMs[0].IP, "")
+	if err != nil {
+		return false, err
+	}
+	defer farm.Close()
+	request := func(id string) kit3.Request {
+		return kit3.Request{Method: http.MethodPost, Target: "/desk/clamp/2026-12", Host: host, ID: id, Key: key, Body: `{"booking":1}`}
+	}
+	for i, v := range in.VMs {
+		n := 0
+		for end := time.Now().Add(20 * time.Second); in.Do(v, request(fmt.Sprintf("ready-%d-%d", i, n))).Status != http.StatusOK; time.Sleep(200 * time.Millisecond) {
+			if n++; time.Now().After(end) {
+				return false, fmt.Errorf("%s does not serve", v.Name)
+			}
+		}
+	}
+	v, err := in.FollowerVM()
+	if err != nil {
+		return false, err
+	}
+	var callers []*kit3.Caller
+	for i := range requests {
+		c, err := in.Dial(v)
+		if err != nil {
+			return false, err
+		}
+		defer c.Close()
+		if a := c.Do(request(fmt.Sprintf("first%d", i))); a.Status != http.StatusOK {
+			return false, fmt.Errorf("a first request was answered %d", a.Status)
+		}
+		callers = append(callers, c)
+	}
+	if trouble {
+		in.Freeze(v)
+	}
+	frozen := time.Now()
+	if err := in.PutConfig(config(false), 3*time.Second); err != nil {
+		return false, err
+	}
+	record.Addf("operator: key %q is taken away; waits for the bound of %v", key, kit3.RevokeBound)
+	time.Sleep(kit3.RevokeBound + 200*time.Millisecond)
+	var sent sync.WaitGroup
+	late := map[string]bool{}
+	for i, c := range callers {
+		id := fmt.Sprintf("late%d", i)
+		late[id] = true
+		sent.Go(func() { c.Do(request(id)) })
+	}
+	time.Sleep(300 * time.Millisecond)
+	if trouble {
+		in.Wake(v)
+		record.Addf("platform: %s was frozen for %v", v.Name, time.Since(frozen).Round(time.Millisecond))
+	}
+	sent.Wait()
+	ran := 0
+	for _, r := range farm.Runs() {
+		if late[r.ID] {
+			ran++
+			record.Addf("check: request %s ran, for tenant %q", r.ID, r.Tenant)
+		}
+	}
+	record.Addf("check: %d of %d requests ran", ran, len(late))
+	return ran > 0, nil
+}
