--- a/review/kit3/backend.go
+++ b/review/kit3/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -23,6 +24,13 @@
 	Version int
 }
 
+// Order is an order that a backend server has got.
+type Order struct {
+	At             time.Time
+	Holder         string
+	Fence, Version int
+}
+
 // Backend is a stand-in for a backend server of a plain service or a model engine: it announces itself, answers 421 to
 // requests for another instance or version, and otherwise runs them.
 type Backend struct {
@@ -33,6 +41,8 @@
 	stop                    chan struct{}
 	// Work is how long a request takes.
 	Work time.Duration
+	// Late returns how much later than it was sent an order arrives; nil if none does.
+	Late func(Order) time.Duration
 
 	mu      sync.Mutex
 	seq     int
@@ -40,7 +50,7 @@
 	version int
 	orders  int
 	runs    []Run
-	paused  bool
+	got     []Order
 }
 
 // StartBackend starts a backend server at an address on the given loopback IP. model is empty for a plain service.
@@ -166,31 +176,39 @@
 
 // order carries out an order at once.
 func (b *Backend) order(w http.ResponseWriter, r *http.Request) {
-	var version, expected int
-	body, _ := io.ReadAll(r.Body)
-	if _, err := fmt.Sscanf(field(string(body), "Version"), "%d", &version); err != nil {
+	var message struct {
+		Version, Fence, Expected int
+		Holder                   string
+	}
+	if err := json.NewDecoder(r.Body).Decode(&message); err != nil || message.Holder == "" || message.Fence == 0 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	_, _ = fmt.Sscanf(field(string(body), "Expected"), "%d", &expected) // 0 if it is not there
+	o := Order{Holder: message.Holder, Fence: message.Fence, Version: message.Version}
+	if b.Late != nil {
+		time.Sleep(b.Late(o))
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.in.Record.Addf("server %s: order %s", b.ID, body)
+	o.At = time.Now()
+	b.got = append(b.got, o)
+	b.in.Record.Addf("server %s: order of %s with fence %d: version %d, expects %d of %d", b.ID, o.Holder, o.Fence, o.Version, message.Expected, b.orders)
 	switch {
-	case expected != b.orders:
+	case message.Expected != b.orders:
 		w.WriteHeader(http.StatusConflict)
-	case version == b.version:
+	case message.Version == b.version:
 		w.WriteHeader(http.StatusOK)
 	default:
-		b.version, b.orders = version, b.orders+1
+		b.version, b.orders = message.Version, b.orders+1
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
 
-// field returns the text of a number in a flat JSON object.
-func field(body, name string) string {
-	_, rest, _ := strings.Cut(body, `"`+name+`":`)
-	return rest
+// Orders returns the orders that have arrived so far.
+func (b *Backend) Orders() []Order {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Order(nil), b.got...)
 }
 
 // Request is a request of a client.
--- a/review/kit3/kit3.go
+++ b/review/kit3/kit3.go
@@ -40,6 +40,7 @@
 	diskMB       = 64
 	maxFiles     = 4100
 	lossesBorne  = 1
+	graceTime    = 8 * time.Second
 	// The ports for metrics are those of the deploy file.
 	controlMetricsPort = 9465
 	routerMetricsPort  = 9464
@@ -57,6 +58,9 @@
 	Role string
 	cmd  *exec.Cmd
 	done chan struct{}
+	// words are the command, settings is the path of the settings file, and log that of the output.
+	words         []string
+	settings, log string
 }
 
 // Signal sends a signal to the process.
@@ -195,25 +199,54 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(in.dir, v.Name, role+".log"))
+	p := &Process{Role: role, words: words, settings: file, log: filepath.Join(in.dir, v.Name, role+".log")}
+	v.Processes[role] = p
+	return in.start(v, p)
+}
+
+// start starts a process, or starts it anew.
+func (in *Installation) start(v *VM, p *Process) error {
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(words[0], words[1:]...)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", "PARSLEYPULLEY_SETTINGS=" + file}
+	cmd := exec.Command(p.words[0], p.words[1:]...)
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8", "PARSLEYPULLEY_SETTINGS=" + p.settings}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
-	p := &Process{Role: role, cmd: cmd, done: make(chan struct{})}
-	go func() { _ = cmd.Wait(); close(p.done) }()
-	v.Processes[role] = p
-	in.Record.Addf("platform: started %s on %s, process %d", role, v.Name, cmd.Process.Pid)
+	done := make(chan struct{})
+	p.cmd, p.done = cmd, done
+	go func() { _ = cmd.Wait(); close(done) }()
+	in.Record.Addf("platform: started %s on %s, process %d", p.Role, v.Name, cmd.Process.Pid)
 	return nil
 }
 
+// Restart sends SIGTERM to a process, SIGKILL after the grace period, and starts it anew, with Bootstrap false.
+func (in *Installation) Restart(v *VM, role string) error {
+	p := v.Processes[role]
+	in.Record.Addf("platform: SIGTERM to %s on %s", role, v.Name)
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.done:
+	case <-time.After(graceTime):
+		in.Record.Addf("platform: SIGKILL to %s on %s", role, v.Name)
+		_ = p.Signal(syscall.SIGKILL) // fails only if it has ended
+		<-p.done
+	}
+	for i, word := range p.words {
+		if word == "--bootstrap=true" {
+			p.words[i] = "--bootstrap=false"
+		}
+	}
+	return in.start(v, p)
+}
+
 // LogsOf returns the lines of the log of a role at a VM that contain a text.
 func (in *Installation) LogsOf(v *VM, role, text string) []string {
 	log, _ := os.ReadFile(filepath.Join(in.dir, v.Name, role+".log"))
@@ -377,6 +410,19 @@
 	return found, nil
 }
 
+// LeaderVM returns the VM whose control process leads; nil if none is known to.
+func (in *Installation) LeaderVM() *VM {
+	for _, v := range in.VMs {
+		var control struct {
+			Role string `json:"consensus_role"`
+		}
+		if metrics(v, controlMetricsPort, &control) == nil && control.Role == "leader" {
+			return v
+		}
+	}
+	return nil
+}
+
 // metrics reads metrics of a role of a VM.
 func metrics(v *VM, port int, into any) error {
 	resp, err := callClient.Get("http://" + address(v.IP, port) + "/debug/vars")
