--- a/review/kit3/kit3.go
+++ b/review/kit3/kit3.go
@@ -142,8 +142,7 @@
 		return nil, err
 	}
 	in := &Installation{Record: record, dir: dir}
-	network, base := 16+rand.IntN(200), 20000+10*rand.IntN(800)
-	host := rand.IntN(200)
+	network, host, base := freeAddresses()
 	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
 		ip := fmt.Sprintf("127.%d.%d.%d", network, host, 10+i)
 		in.VMs = append(in.VMs, &VM{Name: "front-" + zone + "-1", Zone: zone, IP: ip, Processes: map[string]*Process{},
@@ -168,6 +167,23 @@
 	return in, nil
 }
 
+// freeAddresses returns a network of loopback addresses, 127.NETWORK.HOST, and the first of ten free ports.
+func freeAddresses() (network, host, base int) {
+	for {
+		network, host, base = 16+rand.IntN(200), rand.IntN(200), 20000+10*rand.IntN(800)
+		free := true
+		for port := base; port < base+10 && free; port++ {
+			ln, err := net.Listen("tcp", address(fmt.Sprintf("127.%d.%d.10", network, host), port))
+			if free = err == nil; free {
+				_ = ln.Close() // was not used
+			}
+		}
+		if free {
+			return network, host, base
+		}
+	}
+}
+
 func address(ip string, port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 
 // placeholder matches a placeholder of the deploy file.
