--- a/review/kit3/kit3.go
+++ b/review/kit3/kit3.go
@@ -50,7 +50,9 @@
 type VM struct {
 	Name, Zone, IP string
 	Front, Control string
-	Processes      map[string]*Process
+	// Disk is set if the VM has a disk.
+	Disk      bool
+	Processes map[string]*Process
 }
 
 // Process is a process of a VM.
@@ -61,6 +63,8 @@
 	// words are the command, settings is the path of the settings file, and log that of the output.
 	words         []string
 	settings, log string
+	// data is the data folder.
+	data string
 }
 
 // Signal sends a signal to the process.
@@ -81,6 +85,9 @@
 	VMs    []*VM
 	Record *Record
 	dir    string
+	// commands are those of the deploy file by role, and base is the first port for links.
+	commands map[string]string
+	base     int
 	// frozen is the VM that stands still, which the operator has given up on.
 	frozen atomic.Pointer[VM]
 	// version is the version of the newest configuration that was sent.
@@ -131,8 +138,42 @@
 	return commands, nil
 }
 
-// Start starts an installation in a temporary folder and waits until it acknowledges its first configuration.
+// Start starts an installation in a temporary folder and waits until it acknowledges its first configuration. Its seeds are its
+// three VMs.
 func Start(record *Record, config map[string]any) (*Installation, error) {
+	in, err := newInstallation(record)
+	if err != nil {
+		return nil, err
+	}
+	if err = in.startVMs(in.VMs); err == nil {
+		err = in.PutConfig(config, 30*time.Second)
+	}
+	if err != nil {
+		in.Stop()
+		return nil, err
+	}
+	return in, nil
+}
+
+// StartWithRelays starts an installation with a further VM without a disk in each failure domain. These three are the seeds.
+func StartWithRelays(record *Record) (*Installation, error) {
+	in, err := newInstallation(record)
+	if err != nil {
+		return nil, err
+	}
+	disks := in.VMs
+	for i, v := range disks {
+		ip := v.IP + "0" // above all of the VMs with a disk
+		in.VMs = append(in.VMs, in.newVM(fmt.Sprintf("front-%s-2", v.Zone), disks[i].Zone, ip, false))
+	}
+	if err := in.startVMs(in.VMs[len(disks):]); err != nil {
+		in.Stop()
+		return nil, err
+	}
+	return in, nil
+}
+
+func newInstallation(record *Record) (*Installation, error) {
 	commands, err := deployCommands()
 	if err != nil {
 		return nil, err
@@ -141,30 +182,32 @@
 	if err != nil {
 		return nil, err
 	}
-	in := &Installation{Record: record, dir: dir}
 	network, host, base := freeAddresses()
+	in := &Installation{Record: record, dir: dir, commands: commands, base: base}
 	for i, zone := range []string{"zone-a", "zone-b", "zone-c"} {
-		ip := fmt.Sprintf("127.%d.%d.%d", network, host, 10+i)
-		in.VMs = append(in.VMs, &VM{Name: "front-" + zone + "-1", Zone: zone, IP: ip, Processes: map[string]*Process{},
-			Front: address(ip, base+4), Control: address(ip, base+6)})
+		in.VMs = append(in.VMs, in.newVM("front-"+zone+"-1", zone, fmt.Sprintf("127.%d.%d.%d", network, host, 10+i), true))
 	}
-	var seeds []string
-	for _, v := range in.VMs {
-		seeds = append(seeds, v.Control)
+	return in, nil
+}
+
+func (in *Installation) newVM(name, zone, ip string, disk bool) *VM {
+	return &VM{Name: name, Zone: zone, IP: ip, Disk: disk, Processes: map[string]*Process{}, Front: address(ip, in.base+4), Control: address(ip, in.base+6)}
+}
+
+// startVMs starts all VMs, with the given ones as seeds.
+func (in *Installation) startVMs(seeds []*VM) error {
+	var addresses []string
+	for _, v := range seeds {
+		addresses = append(addresses, v.Control)
 	}
 	for _, v := range in.VMs {
-		for role, command := range commands {
-			if err := in.startRole(v, role, command, base, seeds); err != nil {
-				in.Stop()
-				return nil, err
+		for role, command := range in.commands {
+			if err := in.startRole(v, role, command, addresses); err != nil {
+				return err
 			}
 		}
 	}
-	if err := in.PutConfig(config, 30*time.Second); err != nil {
-		in.Stop()
-		return nil, err
-	}
-	return in, nil
+	return nil
 }
 
 // freeAddresses returns a network of loopback addresses, 127.NETWORK.HOST, and the first of ten free ports.
@@ -190,15 +233,19 @@
 var placeholder = regexp.MustCompile(`{{([\w.]+)}}`)
 
 // startRole starts a role with the command of the deploy file.
-func (in *Installation) startRole(v *VM, role, command string, base int, seeds []string) error {
+func (in *Installation) startRole(v *VM, role, command string, seeds []string) error {
 	data := filepath.Join(in.dir, v.Name, "data-"+role)
 	if err := os.MkdirAll(data, 0o700); err != nil {
 		return err
 	}
+	diskSize := diskMB
+	if !v.Disk {
+		data, diskSize = "", 0
+	}
 	settings := map[string]string{
-		"NodeName": v.Name, "Zone": v.Zone, "Ip": v.IP, "Seeds": strings.Join(seeds, ","), "PortRange.0": fmt.Sprint(base),
-		"Limits.MemoryMb": fmt.Sprint(memoryMB), "Limits.DiskMb": fmt.Sprint(diskMB), "Limits.MaxFds": fmt.Sprint(maxFiles),
-		"Listen.Control": v.Control, "Listen.Front": v.Front, "Listen.Ready": address(v.IP, base+5),
+		"NodeName": v.Name, "Zone": v.Zone, "Ip": v.IP, "Seeds": strings.Join(seeds, ","), "PortRange.0": fmt.Sprint(in.base),
+		"Limits.MemoryMb": fmt.Sprint(memoryMB), "Limits.DiskMb": fmt.Sprint(diskSize), "Limits.MaxFds": fmt.Sprint(maxFiles),
+		"Listen.Control": v.Control, "Listen.Front": v.Front, "Listen.Ready": address(v.IP, in.base+5),
 		"DataDir": data, "Bootstrap": "true", "FaultTolerance.Machines": fmt.Sprint(lossesBorne), "HeartbeatMs": fmt.Sprint(HeartbeatMs),
 		"Bounds.GraceS": "8", "Bounds.LeaseMs": "3000", "Bounds.VersionMs": fmt.Sprint(VersionBound.Milliseconds()), "Bounds.RevokeMs": fmt.Sprint(RevokeBound.Milliseconds()),
 		"Bounds.BudgetRatio": "0.2", "Bounds.ExtraRetries": "116", "Bounds.BudgetWindowS": "10",
@@ -215,7 +262,7 @@
 	if err := os.WriteFile(file, text, 0o600); err != nil {
 		return err
 	}
-	p := &Process{Role: role, words: words, settings: file, log: filepath.Join(in.dir, v.Name, role+".log")}
+	p := &Process{Role: role, data: data, words: words, settings: file, log: filepath.Join(in.dir, v.Name, role+".log")}
 	v.Processes[role] = p
 	return in.start(v, p)
 }
@@ -255,6 +302,29 @@
 		_ = p.Signal(syscall.SIGKILL) // fails only if it has ended
 		<-p.done
 	}
+	return in.StartAgain(v, role)
+}
+
+// Kill ends a process with SIGKILL.
+func (in *Installation) Kill(v *VM, role string) {
+	in.Record.Addf("platform: SIGKILL to %s on %s", role, v.Name)
+	_ = v.Processes[role].Signal(syscall.SIGKILL) // fails only if it has ended
+	<-v.Processes[role].done
+}
+
+// Wipe empties the data folder of a process that has ended.
+func (in *Installation) Wipe(v *VM, role string) error {
+	in.Record.Addf("platform: %s on %s loses its disk", role, v.Name)
+	data := v.Processes[role].data
+	if err := os.RemoveAll(data); err != nil {
+		return err
+	}
+	return os.MkdirAll(data, 0o700)
+}
+
+// StartAgain starts a process that has ended, with Bootstrap false.
+func (in *Installation) StartAgain(v *VM, role string) error {
+	p := v.Processes[role]
 	for i, word := range p.words {
 		if word == "--bootstrap=true" {
 			p.words[i] = "--bootstrap=false"
@@ -471,3 +541,20 @@
 
 // Pid returns the ID of the process.
 func (p *Process) Pid() int { return p.cmd.Process.Pid }
+
+// FirstLeader waits until the control process of one of the VMs leads and returns that VM, with the number of voters
+// then; nil if none leads within the time.
+func (in *Installation) FirstLeader(vms []*VM, within time.Duration) (leader *VM, voters int) {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		for _, v := range vms {
+			var control struct {
+				Role   string `json:"consensus_role"`
+				Voters int    `json:"consensus_voters"`
+			}
+			if metrics(v, controlMetricsPort, &control) == nil && control.Role == "leader" {
+				return v, control.Voters
+			}
+		}
+	}
+	return nil, 0
+}
